--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SEED ?= 1
+
+.PHONY: setup test lint format demo spec faults bench capacity
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/flake8 src spec benchmarks
+	$(BIN)/ruff format --check src spec benchmarks
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff format src spec benchmarks
+
+demo: setup
+	$(BIN)/python -m clementineline.experiments.demo
+
+spec: setup
+	$(BIN)/python spec/check.py
+
+faults: setup
+	$(BIN)/python -m clementineline.experiments.faults --seed $(SEED)
+
+bench: setup
+	$(BIN)/python -m clementineline.experiments.bench
+
+capacity: setup
+	$(BIN)/python -m clementineline.experiments.capacity
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,1 @@
+"""Check the specification; filled by the models beside this file."""
--- /dev/null
+++ b/src/clementineline/__init__.py
@@ -0,0 +1,9 @@
+"""A rollout service for reinforcement learning.
+
+The package is a library with thin daemons: ``entry`` serves callers,
+trainers and operators, ``sidecar`` runs beside each endpoint.
+"""
+
+__all__ = ['__version__']
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/src/clementineline/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/clementineline/commands/operator.py
@@ -0,0 +1,257 @@
+"""The operators' commands, which speak HTTP with any entry."""
+
+import getpass
+import json
+import os
+import pathlib
+import typing
+import urllib.error
+import urllib.request
+
+import cyclopts
+
+from clementineline import errors
+
+__all__ = ['CommandFailed', 'add_commands', 'check_file']
+
+ENTRY_VARIABLE = 'CLEMENTINELINE_ENTRY'
+DEFAULT_ENTRY = 'http://127.0.0.1:7200'
+TIMEOUT_S = 30.0
+REFUSED = 1
+WRONG_INPUT = 2
+UNREACHABLE = 3
+UNKNOWN_OUTCOME = 4
+
+Entry = typing.Annotated[
+    str | None,
+    cyclopts.Parameter(
+        name='--entry',
+        help=f'HTTP root of an entry; else ${ENTRY_VARIABLE}, else '
+        f'{DEFAULT_ENTRY}',
+    ),
+]
+Json = typing.Annotated[
+    bool,
+    cyclopts.Parameter(name='--json', negative='', help='print JSON'),
+]
+
+
+class CommandFailed(errors.ClementinelineError):
+    """A command ended without success.
+
+    :param code: exit code
+    """
+
+    def __init__(self, message, code):
+        super().__init__(message)
+        self.code = code
+
+
+def _call(entry, method, path, data=None):
+    """Call an entry.
+
+    :returns: the decoded JSON answer
+    :raises CommandFailed: with the answer's message
+    """
+    root = entry or os.environ.get(ENTRY_VARIABLE, DEFAULT_ENTRY)
+    request = urllib.request.Request(
+        f'{root.rstrip("/")}/v1/operator/{path}', data=data, method=method
+    )
+    request.add_header('Clementineline-Operator', getpass.getuser())
+    try:
+        with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
+            return json.load(answer)
+    except urllib.error.HTTPError as error:
+        raise _read_failure(error) from None
+    except (OSError, ValueError) as error:
+        code = UNREACHABLE if method == 'GET' else UNKNOWN_OUTCOME
+        reason = getattr(error, 'reason', error)
+        if isinstance(reason, ConnectionRefusedError):
+            code = UNREACHABLE
+        raise CommandFailed(f'{root}: {reason}', code) from None
+
+
+def _read_failure(error):
+    try:
+        message = json.load(error)['error']['message']
+    except (ValueError, LookupError, TypeError):
+        message = f'status {error.code}'
+    verdict = error.headers.get('Clementineline-Verdict', '')
+    code = REFUSED
+    if verdict == 'may-have-run':
+        code = UNKNOWN_OUTCOME
+    elif error.code in (400, 422):
+        code = WRONG_INPUT
+    return CommandFailed(message, code)
+
+
+def _print_json(value):
+    print(json.dumps(value, indent=2))
+
+
+def _print_plan(plan, as_json):
+    if as_json:
+        _print_json(plan)
+        return
+    print(
+        f'plan {plan["id"]} ({plan["state"]}), by {plan["operator"]} at '
+        f'{plan["created"]}'
+    )
+    print(f'against configuration {plan["base_version"]}')
+    print('changes:')
+    for change in plan['changes']:
+        print(f'  {change["key"]}')
+        print(f'    now:  {json.dumps(change["before"])}')
+        print(f'    then: {json.dumps(change["after"])}')
+    print('effects:')
+    for effect in plan['effects']:
+        print(f'  {effect}')
+    if plan['state'] == 'proposed':
+        print(f'confirm with: clementineline plan confirm {plan["id"]}')
+    if plan['state'] == 'confirmed':
+        print(f'in force with configuration {plan["in_force_version"]}')
+
+
+def _print_status(status):
+    configuration = status['configuration']
+    available = 'yes' if status['platform_available'] else 'no'
+    print(f'leader: {status["leader"] or "none known"}')
+    print(f'platform answers: {available}')
+    print(
+        f'configuration: {configuration["version"]}, everywhere at least '
+        f'{configuration["lowest_in_force"]}'
+    )
+    if configuration['lagging']:
+        print(f'  lagging: {", ".join(configuration["lagging"])}')
+    for model, version in sorted(status['weights'].items()):
+        print(f'weights of {model}: {version}')
+    print(f'entries: {", ".join(status["entries"])}')
+    print(f'waiting: {status["waiting"]}')
+    print('endpoints:')
+    for item in status['endpoints']:
+        print(
+            f'  {item["name"]:<20} {item["availability_zone"]:<14} '
+            f'{item["serves"]:<14} {item["state"]:<12} '
+            f'{item["used"]}/{item["slots"]} slots, '
+            f'weights {item["active_version"]}, '
+            f'configuration {item["configuration"]}'
+        )
+    for step, whole in sorted(status['steps'].items()):
+        print(f'step {step}: {whole} whole groups wait for the trainer')
+    if status['repairs']:
+        print('repaired lately:')
+    for repair in status['repairs']:
+        details = dict(repair)
+        kind, subject = details.pop('decision'), details.pop('id')
+        print(f'  {kind} {subject}: {json.dumps(details)}')
+
+
+def check_file(path):
+    """Check a settings or intent file.
+
+    :param path: path of the file
+    :returns: ``entry settings``, ``sidecar settings`` or ``intent``
+    :raises errors.SettingsError: with the path of the refused value
+    """
+    # Imported here, so that the other commands start without them.
+    from clementineline.coordination import planning
+    from clementineline.state import settings
+
+    data = _read_file(path)
+    try:
+        fields = json.loads(data)
+    except ValueError as error:
+        raise errors.SettingsError(f'{path}: {error}') from None
+    if not isinstance(fields, dict):
+        raise errors.SettingsError(f'{path}: $: expected an object')
+    if fields.keys() & {'trainers', 'models', 'services', 'endpoints'}:
+        try:
+            planning.parse_intent(data)
+        except errors.IntentError as error:
+            raise errors.SettingsError(f'{path}: {error}') from None
+        return 'intent'
+    if fields.keys() & {'engine', 'service'}:
+        settings.load_settings(path, settings.SidecarSettings)
+        return 'sidecar settings'
+    settings.load_settings(path, settings.EntrySettings)
+    return 'entry settings'
+
+
+def _read_file(path):
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise errors.SettingsError(
+            f'{path}: cannot be read: {error.strerror}'
+        ) from None
+
+
+def add_commands(app):
+    """Add the operators' commands to the application."""
+    intent = cyclopts.App(name='intent', help='State what you intend.')
+    plan = cyclopts.App(name='plan', help='Read, confirm or withdraw plans.')
+    app.command(intent)
+    app.command(plan)
+
+    @intent.command
+    def submit(file: pathlib.Path, *, entry: Entry = None, json: Json = False):
+        """Submit an intent; print its plan. Nothing changes yet.
+
+        :param file: JSON file with the intent
+        """
+        answer = _call(entry, 'POST', 'intents', _read_file(file))
+        _print_plan(answer, json)
+
+    @plan.command(name='list')
+    def list_plans(*, entry: Entry = None, json: Json = False):
+        """List all plans, oldest first."""
+        answer = _call(entry, 'GET', 'plans')
+        if json:
+            _print_json(answer)
+            return
+        for item in answer['plans']:
+            print(
+                f'{item["id"]}  {item["state"]:<10} {item["created"]}  '
+                f'{item["operator"]}  {len(item["changes"])} changes'
+            )
+
+    @plan.command
+    def show(plan_id: str, *, entry: Entry = None, json: Json = False):
+        """Show a plan: what would change, and what that costs."""
+        _print_plan(_call(entry, 'GET', f'plans/{plan_id}'), json)
+
+    @plan.command
+    def confirm(plan_id: str, *, entry: Entry = None, json: Json = False):
+        """Put a plan in force, unless it is stale."""
+        path = f'plans/{plan_id}/confirm'
+        _print_plan(_call(entry, 'POST', path, b''), json)
+
+    @plan.command
+    def withdraw(plan_id: str, *, entry: Entry = None, json: Json = False):
+        """Withdraw a plan that was not confirmed."""
+        path = f'plans/{plan_id}/withdraw'
+        _print_plan(_call(entry, 'POST', path, b''), json)
+
+    @app.command
+    def status(*, entry: Entry = None, json: Json = False):
+        """Show the fleet: leader, configuration, endpoints, repairs."""
+        answer = _call(entry, 'GET', 'status')
+        if json:
+            _print_json(answer)
+            return
+        _print_status(answer)
+
+    @app.command
+    def explain(id: str, *, entry: Entry = None, json: Json = False):
+        """Show the decisions about a request, sample, step or plan."""
+        answer = _call(entry, 'GET', f'explain/{id}')
+        if json:
+            _print_json(answer)
+            return
+        for line in answer['decisions']:
+            details = dict(line)
+            process = details.pop('process')
+            kind, subject = details.pop('decision'), details.pop('id')
+            print(f'{process}: {kind} {subject}')
+            for name, value in details.items():
+                print(f'    {name}: {value}')
--- /dev/null
+++ b/src/clementineline/commands/processes.py
@@ -0,0 +1,54 @@
+"""Running a daemon as a process: event loop, signals, graceful shutdown."""
+
+import asyncio
+import signal
+
+import uvloop
+
+__all__ = ['run_entry', 'run_sidecar']
+
+
+async def _run(daemon):
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
+
+
+def _run_process(build):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(build())
+
+
+def run_entry(settings):
+    """Run an entry until SIGTERM.
+
+    :param settings: :class:`~settings.EntrySettings`
+    """
+    # Imported here, so that a sidecar does not load an entry's modules.
+    from clementineline.daemons import entry
+    from clementineline.daemons import logs
+
+    async def start():
+        log = logs.configure_logs(settings.name)
+        await _run(entry.Entry(settings, log))
+
+    _run_process(start)
+
+
+def run_sidecar(settings):
+    """Run a sidecar until SIGTERM.
+
+    :param settings: :class:`~settings.SidecarSettings`
+    """
+    from clementineline.daemons import logs
+    from clementineline.daemons import sidecar
+
+    async def start():
+        log = logs.configure_logs(settings.name)
+        await _run(sidecar.Sidecar(settings, log))
+
+    _run_process(start)
--- /dev/null
+++ b/src/clementineline/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: membership, lease, planning, routing, weights, samples."""
--- /dev/null
+++ b/src/clementineline/coordination/endpoints.py
@@ -0,0 +1,180 @@
+"""An entry's view of one endpoint and of the attempts it runs there."""
+
+import asyncio
+
+from clementineline.coordination import pace
+from clementineline.protocol import messages
+
+__all__ = ['Attempt', 'Endpoint']
+
+
+class Attempt:
+    """One attempt of a request at an endpoint.
+
+    :param id: id of the attempt
+    :param endpoint: the :class:`Endpoint`
+    :param share: ``live`` or a trainer's name
+    """
+
+    __slots__ = ('endpoint', 'events', 'id', 'share', 'started_at')
+
+    def __init__(self, id, endpoint, share, started_at):
+        self.id = id
+        self.endpoint = endpoint
+        self.share = share
+        self.started_at = started_at
+        self.events = asyncio.Queue()
+
+
+class Endpoint:
+    """An endpoint as an entry sees it through the sidecar's session.
+
+    :param member: the sidecar's :class:`messages.Member`
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    """
+
+    __slots__ = (
+        '_clock',
+        '_others',
+        'attempts',
+        'member',
+        'outstanding',
+        'pace',
+        'report',
+        'session',
+        'total_outstanding',
+    )
+
+    def __init__(self, member, clock):
+        self.member = member
+        self._clock = clock
+        self.session = None
+        self.report = None
+        self.attempts = {}
+        self.outstanding = {}
+        self.total_outstanding = 0
+        self._others = {}
+        self.pace = pace.PaceTracker()
+
+    @property
+    def name(self):
+        """The sidecar's name."""
+        return self.member.name
+
+    @property
+    def usable(self):
+        """Whether it may get new work."""
+        return (
+            self.session is not None
+            and self.session.connected
+            and self.report is not None
+            and not self.report.leaving
+            and not self.member.leaving
+            and self.report.capacity > 0
+        )
+
+    def note_report(self, report):
+        """Take in the sidecar's report."""
+        self.report = report
+        others = {}
+        for share, count in report.running.items():
+            extra = count - self.outstanding.get(share, 0)
+            if extra > 0:
+                others[share] = extra
+        self._others = others
+
+    def count_used(self):
+        """Return the number of slots in use, by all entries."""
+        return self.total_outstanding + sum(self._others.values())
+
+    def count_share(self, share):
+        """Return the number of slots that a share uses, by all entries."""
+        return self.outstanding.get(share, 0) + self._others.get(share, 0)
+
+    def get_shares(self):
+        """Return the shares that use slots."""
+        return {*self.outstanding, *self._others}
+
+    def count_free(self, live):
+        """Return the number of free slots for live or trainer work."""
+        free = self.report.capacity - self.count_used()
+        if not live:
+            free -= self.report.reserve
+        return free
+
+    def reserve(self, share):
+        """Count a slot for a share before its attempt is sent."""
+        self.total_outstanding += 1
+        self.outstanding[share] = self.outstanding.get(share, 0) + 1
+
+    def release(self, share):
+        """Give back a slot that :meth:`reserve` counted."""
+        self.total_outstanding -= 1
+        count = self.outstanding[share] - 1
+        if count:
+            self.outstanding[share] = count
+        else:
+            del self.outstanding[share]
+
+    def dispatch(self, dispatch):
+        """Send an attempt to the sidecar, in a slot reserved before.
+
+        :param dispatch: a :class:`messages.Dispatch`
+        :returns: the :class:`Attempt`
+        """
+        now = self._clock.now()
+        attempt = Attempt(dispatch.id, self, dispatch.share, now)
+        self.attempts[attempt.id] = attempt
+        self.pace.start(attempt.id, now)
+        self.session.send(dispatch)
+        return attempt
+
+    def attach(self, attempt_id):
+        """Ask the sidecar for the outcome of an earlier attempt.
+
+        :returns: an :class:`Attempt`
+        """
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None:
+            attempt = Attempt(attempt_id, self, '', self._clock.now())
+            self.attempts[attempt_id] = attempt
+            self.session.send(messages.Attach(attempt_id))
+        return attempt
+
+    def cancel(self, attempt, reason):
+        """Ask the sidecar to end an attempt."""
+        if self.session is not None:
+            self.session.send(messages.Cancel(attempt.id, reason))
+
+    def note_event(self, event):
+        """Hand a Chunk or Done to its attempt.
+
+        :returns: the attempt if this ended it, else None
+        """
+        attempt = self.attempts.get(event.id)
+        if attempt is None:
+            return None
+        now = self._clock.now()
+        if isinstance(event, messages.Chunk):
+            self.pace.note(event.id, event.tokens, now)
+            attempt.events.put_nowait(event)
+            return None
+        if event.outcome == 'answered' and self.member.kind == 'service':
+            self.pace.note(event.id, 1, now)
+        self._end(attempt)
+        attempt.events.put_nowait(event)
+        return attempt
+
+    def fail_all(self, reason):
+        """End all attempts: their state at the sidecar is lost."""
+        for attempt in list(self.attempts.values()):
+            self._end(attempt)
+            attempt.events.put_nowait(
+                messages.Done(attempt.id, 'may-have-run', reason)
+            )
+
+    def _end(self, attempt):
+        del self.attempts[attempt.id]
+        self.pace.finish(attempt.id)
+        if attempt.share:
+            self.release(attempt.share)
--- /dev/null
+++ b/src/clementineline/coordination/keys.py
@@ -0,0 +1,343 @@
+"""Keyed calls: an idempotency key runs at most once, whoever repeats it.
+
+Each key has a primary and a backup home among the sidecars of the roster in
+the configuration. An entry claims the key at both before it dispatches, and
+stores the first answer at both after it. A new roster's homes grant a claim
+only after a home of each earlier roster that may hold a record was asked.
+"""
+
+import asyncio
+import dataclasses
+import uuid
+
+from clementineline.coordination import requests
+from clementineline.coordination import roster as rosters
+from clementineline import errors
+from clementineline.protocol import messages
+from clementineline.protocol import verdicts
+
+__all__ = ['KeyedCalls', 'PendingAnswers']
+
+CLAIM_TIMEOUT_S = 2.0
+ROSTER_RETRY_S = 0.1
+TRIES_MAX = 8
+ANSWER_KEPT_MAX_BYTES = 64 * 1024
+
+
+class PendingAnswers:
+    """Answers that this process waits for, by call id."""
+
+    __slots__ = ('_futures',)
+
+    def __init__(self):
+        self._futures = {}
+
+    async def ask(self, session, message, timeout_s):
+        """Send a message and wait for the answer to its call id.
+
+        :raises errors.ConnectionLost: if none came in time
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._futures[message.call_id] = future
+        session.send(message)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            raise errors.ConnectionLost(
+                f'{session.peer.name}: no answer in {timeout_s} s'
+            ) from error
+        finally:
+            del self._futures[message.call_id]
+
+    def resolve(self, answer):
+        """Hand an answer to whoever waits for it."""
+        future = self._futures.get(answer.call_id)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claim:
+    """State of a key after its homes were asked.
+
+    :param record: record that holds the key now
+    :param granted: whether it is held for this very attempt
+    """
+
+    record: messages.KeyRecord
+    granted: bool
+
+
+class _HomesUnavailable(Exception):
+    """The homes of a key cannot answer; nothing was run."""
+
+
+class KeyedCalls:
+    """Runs calls that carry an idempotency key.
+
+    :param runner: a :class:`~requests.RequestRunner`
+    :param router: a :class:`~routing.Router`
+    :param configuration: the configuration in force
+    :param get_endpoint: function from a sidecar's name to its Endpoint
+    :param pending: the process's :class:`PendingAnswers`
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    :param decisions: a :class:`~decisions.DecisionLog`
+    """
+
+    __slots__ = (
+        '_clock',
+        '_configuration',
+        '_decisions',
+        '_get_endpoint',
+        '_pending',
+        '_router',
+        '_runner',
+        '_running',
+    )
+
+    def __init__(
+        self,
+        runner,
+        router,
+        configuration,
+        get_endpoint,
+        pending,
+        clock,
+        decisions,
+    ):
+        self._runner = runner
+        self._router = router
+        self._configuration = configuration
+        self._get_endpoint = get_endpoint
+        self._pending = pending
+        self._clock = clock
+        self._decisions = decisions
+        self._running = {}
+
+    async def call(self, key, fingerprint, request):
+        """Run a keyed call, or return the first answer of its key.
+
+        :param key: the caller's key, with the service's name before it
+        :param fingerprint: digest of the request's method, path and body
+        :param request: a :class:`~requests.CallRequest`
+        :returns: the verdict
+        :raises errors.RequestError: if the key names another request
+        """
+        running = self._running.get(key)
+        if running is None or running[1].done():
+            # The task outlives its caller: the answer must reach the homes.
+            task = asyncio.create_task(self._run(key, fingerprint, request))
+            running = (fingerprint, task)
+            self._running[key] = running
+            task.add_done_callback(lambda _: self._forget(key, task))
+        _check_fingerprint(key, running[0], fingerprint)
+        return await asyncio.shield(running[1])
+
+    def _forget(self, key, task):
+        running = self._running.get(key)
+        if running is not None and running[1] is task:
+            del self._running[key]
+
+    async def _run(self, key, fingerprint, request):
+        generation = 0
+        verdict = verdicts.NotRun('no attempt was possible')
+        for number in range(1, TRIES_MAX + 1):
+            try:
+                claim = await self._claim(
+                    key, fingerprint, request, generation, number
+                )
+            except _HomesUnavailable as error:
+                return verdicts.NotRun(f'key records: {error}')
+            if isinstance(claim, verdicts.NotRun):
+                return claim
+            _check_fingerprint(key, claim.record.fingerprint, fingerprint)
+            if claim.granted:
+                verdict = await self._run_claimed(claim.record, request)
+            else:
+                verdict = await self._repeat(claim.record)
+            if not isinstance(verdict, verdicts.NotRun):
+                return verdict
+            # The attempt that held the key never ran and never will.
+            generation = claim.record.generation
+        return verdict
+
+    async def _claim(self, key, fingerprint, request, generation, number):
+        """Claim the key for a new attempt at a chosen endpoint."""
+        held = await self._look_up(key, generation)
+        if held is not None:
+            return _Claim(held, granted=False)
+        pool = self._router.get_pool('service', request.work.service)
+        placement = await self._runner.wait_for_slot(pool, request, number)
+        if isinstance(placement, verdicts.NotRun):
+            return placement
+        endpoint = placement.endpoint
+        record = messages.KeyRecord(
+            key,
+            generation + 1,
+            fingerprint,
+            f'{request.id}.{number}.{uuid.uuid4().hex[:8]}',
+            endpoint.name,
+            endpoint.member.incarnation,
+        )
+        granted = False
+        try:
+            holder = await self._store(key, record, generation)
+            granted = holder.request_id == record.request_id
+        finally:
+            if not granted:
+                endpoint.release(request.share)
+        return _Claim(holder, granted)
+
+    async def _look_up(self, key, generation):
+        """Return the record that a repeat must follow, or None.
+
+        Asks the earlier rosters' homes when a newer roster may lack it.
+        """
+        roster = self._get_roster()
+        if generation or not roster.earlier:
+            return None
+        primary = rosters.choose_homes(key, roster.homes)[0]
+        answer = await self._ask_home(primary, key, 0, None)
+        if answer.outcome == 'held':
+            return answer.record
+        for homes in roster.earlier:
+            if primary in rosters.choose_homes(key, homes):
+                # The primary was a home then too, and has just answered.
+                continue
+            record = await self._ask_earlier(key, homes)
+            if record is not None:
+                return await self._store(key, record, 0)
+        return None
+
+    async def _ask_earlier(self, key, homes):
+        """Ask one of the two homes of an earlier roster."""
+        reasons = []
+        for home in rosters.choose_homes(key, homes):
+            try:
+                answer = await self._ask_home(home, key, 0, None)
+            except _HomesUnavailable as error:
+                reasons.append(str(error))
+                continue
+            return answer.record
+        raise _HomesUnavailable(
+            f'no home of an earlier roster answers: {"; ".join(reasons)}'
+        )
+
+    async def _store(self, key, record, generation):
+        """Store a claim at both homes.
+
+        :returns: the record that holds the key after it
+        """
+        homes = rosters.choose_homes(key, self._get_roster().homes)
+        for home in homes:
+            answer = await self._ask_home(home, key, generation, record)
+            if answer.outcome == 'held':
+                return answer.record
+            if answer.outcome != 'granted':
+                raise _HomesUnavailable(answer.reason)
+        return record
+
+    async def _ask_home(self, home, key, generation, record):
+        """Ask a home, again while the rosters differ."""
+        reason = ''
+        for _ in range(TRIES_MAX):
+            endpoint = self._get_endpoint(home.name)
+            if endpoint is None or endpoint.session is None:
+                raise _HomesUnavailable(f'{home.name}: no session')
+            if endpoint.session.peer.incarnation != home.incarnation:
+                raise _HomesUnavailable(
+                    f'{home.name}: restarted since the roster was made'
+                )
+            claim = messages.KeyClaim(
+                uuid.uuid4().hex,
+                self._get_roster().version,
+                key,
+                generation,
+                record,
+            )
+            try:
+                answer = await self._pending.ask(
+                    endpoint.session, claim, CLAIM_TIMEOUT_S
+                )
+            except errors.ConnectionLost as error:
+                raise _HomesUnavailable(str(error)) from error
+            if answer.outcome != 'refused':
+                return answer
+            reason = answer.reason
+            if not reason.startswith('roster'):
+                break
+            await asyncio.sleep(ROSTER_RETRY_S)
+        raise _HomesUnavailable(f'{home.name}: {reason}')
+
+    def _get_roster(self):
+        roster = self._configuration.get('roster')
+        if roster is None or not roster.homes:
+            raise _HomesUnavailable('the configuration has no roster yet')
+        return roster
+
+    async def _run_claimed(self, record, request):
+        endpoint = self._get_endpoint(record.endpoint)
+        timeout_s = 0.0
+        if request.deadline is not None:
+            timeout_s = max(0.001, request.deadline - self._clock.now())
+        attempt = endpoint.dispatch(
+            messages.Dispatch(
+                record.request_id,
+                request.share,
+                timeout_s,
+                True,
+                '',
+                request.work,
+            )
+        )
+        return await self._finish(record, attempt)
+
+    async def _repeat(self, record):
+        """Return the outcome of the attempt that holds the key."""
+        self._decisions.record(
+            'repeat',
+            record.request_id,
+            key=record.key,
+            endpoint=record.endpoint,
+            answered=record.answer is not None,
+        )
+        if record.answer is not None:
+            return requests.read_verdict(record.answer)
+        endpoint = self._get_endpoint(record.endpoint)
+        if endpoint is None or endpoint.session is None:
+            return verdicts.MayHaveRun(
+                f'{record.endpoint}, which may have run it, is out of reach'
+            )
+        if endpoint.session.peer.incarnation != record.incarnation:
+            return verdicts.MayHaveRun(
+                f'{record.endpoint}, which may have run it, has restarted'
+            )
+        return await self._finish(record, endpoint.attach(record.request_id))
+
+    async def _finish(self, record, attempt):
+        done = await attempt.events.get()
+        verdict = requests.read_verdict(done)
+        if isinstance(verdict, verdicts.Answered):
+            if len(done.body) <= ANSWER_KEPT_MAX_BYTES:
+                self._settle(record, done)
+        return verdict
+
+    def _settle(self, record, done):
+        roster = self._configuration.get('roster')
+        for home in rosters.choose_homes(record.key, roster.homes):
+            endpoint = self._get_endpoint(home.name)
+            if endpoint is None or endpoint.session is None:
+                continue
+            endpoint.session.send(
+                messages.KeySettle(record.key, record.request_id, done)
+            )
+
+
+def _check_fingerprint(key, known, given):
+    if known != given:
+        raise errors.RequestError(
+            422,
+            f'Idempotency-Key {key.partition("/")[2]!r}: was first used for '
+            'another method, path or body; expected the same request',
+        )
--- /dev/null
+++ b/src/clementineline/coordination/lease.py
@@ -0,0 +1,154 @@
+"""The leader's lease, kept as one object of the platform.
+
+A contender never reads another machine's clock: it takes the lease only when
+the object has not changed for the lease's duration on its own clock. The
+version of the object at that write is the fencing number of every order.
+"""
+
+import asyncio
+
+from clementineline import errors
+from clementineline.protocol import links
+
+__all__ = ['LeaseKeeper']
+
+LEASE_KIND = 'lease'
+LEASE_NAME = 'leader'
+# A holder stops this share of the duration before a contender may start.
+SAFETY_SHARE = 0.25
+
+
+class LeaseKeeper:
+    """Contends for the lease and renews it.
+
+    :param holder: name of this process, with its incarnation
+    :param platform: a :class:`~platform.PlatformClient`
+    :param settings: a :class:`~settings.LeaseSettings`
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_clock',
+        '_log',
+        '_observed_at',
+        '_platform',
+        '_settings',
+        '_valid_until',
+        '_version',
+        'fence',
+        'holder',
+        'known_fence',
+        'known_holder',
+    )
+
+    def __init__(self, holder, platform, settings, clock, log):
+        self.holder = holder
+        self._platform = platform
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._version = 0
+        self._observed_at = 0.0
+        self._valid_until = 0.0
+        self.fence = 0
+        self.known_fence = 0
+        self.known_holder = ''
+
+    def holds(self):
+        """Return whether the lease is held beyond doubt at this moment."""
+        return self.fence > 0 and self._clock.now() < self._valid_until
+
+    async def run(self):
+        """Contend for the lease and renew it until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except errors.PlatformError as error:
+                self._log.info('lease not renewed', reason=str(error))
+                self._drop_lapsed()
+            await asyncio.sleep(links.jitter(self._settings.renew_s))
+
+    async def step(self):
+        """Renew the lease if it is held, else look whether it is free."""
+        self._drop_lapsed()
+        if self.fence:
+            await self._renew()
+            return
+        current = await self._platform.read(LEASE_KIND, LEASE_NAME)
+        now = self._clock.now()
+        version = current.version if current else 0
+        if current is not None:
+            self.known_holder = current.value['holder']
+            self.known_fence = current.value['fence'] or current.version
+        if version != self._version:
+            self._version = version
+            self._observed_at = now
+            if not self._is_released(current):
+                return
+        if current is not None and not self._is_released(current):
+            if now - self._observed_at < self._settings.duration_s:
+                return
+        await self._acquire()
+
+    def _is_released(self, current):
+        return current is None or not current.value['holder']
+
+    async def _acquire(self):
+        started = self._clock.now()
+        try:
+            # The fence is the version that this very write gets.
+            version = await self._write(fence=0)
+        except errors.WriteConflict:
+            self._version = 0
+            return
+        self._version = version
+        self.fence = version
+        self.known_fence = version
+        self.known_holder = self.holder
+        self._extend(started)
+        self._log.info('lease acquired', fence=version, holder=self.holder)
+
+    async def _renew(self):
+        started = self._clock.now()
+        try:
+            self._version = await self._write(fence=self.fence)
+        except errors.WriteConflict as error:
+            self._log.warning('lease lost', reason=str(error))
+            self._forget()
+            return
+        self._extend(started)
+
+    async def _write(self, fence):
+        value = {'holder': self.holder, 'fence': fence}
+        return await self._platform.write(
+            LEASE_KIND, LEASE_NAME, value, self._version
+        )
+
+    def _extend(self, started):
+        share = 1.0 - SAFETY_SHARE
+        self._valid_until = started + self._settings.duration_s * share
+
+    def _drop_lapsed(self):
+        if self.fence and self._clock.now() >= self._valid_until:
+            self._log.warning('lease lapsed', fence=self.fence)
+            self._forget()
+
+    def _forget(self):
+        self.fence = 0
+        self._valid_until = 0.0
+        self._observed_at = self._clock.now()
+
+    async def release(self):
+        """Give the lease up, so that another entry takes it at once."""
+        if not self.holds():
+            return
+        value = {'holder': '', 'fence': self.fence}
+        self._valid_until = 0.0
+        try:
+            await self._platform.write(
+                LEASE_KIND, LEASE_NAME, value, self._version
+            )
+        except errors.PlatformError as error:
+            self._log.info('lease not released', reason=str(error))
+        self.fence = 0
--- /dev/null
+++ b/src/clementineline/coordination/prediction.py
@@ -0,0 +1,47 @@
+"""Prediction of generation lengths from prompts and finished siblings."""
+
+import collections
+
+__all__ = ['LengthPredictor']
+
+PROMPTS_KEPT = 4096
+SMOOTHING = 0.2
+DEFAULT_TOKENS = 128.0
+
+
+class LengthPredictor:
+    """Predicts the length of generations of one model, in tokens.
+
+    The best source wins: finished samples of the same prompt, then the
+    average of the share (live callers or one trainer), then the limit.
+    """
+
+    __slots__ = ('_by_prompt', '_by_share')
+
+    def __init__(self):
+        self._by_prompt = collections.OrderedDict()
+        self._by_share = {}
+
+    def predict(self, prompt_key, share, limit):
+        """Return the expected number of tokens.
+
+        :param prompt_key: digest of the prompt
+        :param share: ``live`` or a trainer's name
+        :param limit: most tokens that the request allows; 0 for no limit
+        """
+        expected = self._by_prompt.get(prompt_key)
+        if expected is None:
+            expected = self._by_share.get(share, DEFAULT_TOKENS)
+        if limit:
+            expected = min(expected, limit)
+        return expected
+
+    def learn(self, prompt_key, share, tokens):
+        """Take in the length of a finished generation."""
+        known = self._by_prompt.pop(prompt_key, tokens)
+        # Siblings of a long sample tend to be long: lean to the longer.
+        self._by_prompt[prompt_key] = max(known, tokens) * 0.7 + tokens * 0.3
+        if len(self._by_prompt) > PROMPTS_KEPT:
+            self._by_prompt.popitem(last=False)
+        average = self._by_share.get(share, tokens)
+        self._by_share[share] = average + SMOOTHING * (tokens - average)
--- /dev/null
+++ b/src/clementineline/coordination/rendezvous.py
@@ -0,0 +1,64 @@
+"""Rendezvous hashing and deterministic subsets over availability zones."""
+
+import math
+
+import xxhash
+
+__all__ = ['choose_spread', 'count_entries_per_sidecar', 'rank', 'score']
+
+ENTRIES_PER_SIDECAR_MIN = 4
+ENTRIES_PER_SIDECAR_MAX = 64
+SIDECARS_PER_ENTRY_MIN = 4
+
+
+def score(key, name):
+    """Return the rendezvous score of a name for a key."""
+    return xxhash.xxh3_64_intdigest(f'{key}\x00{name}'.encode())
+
+
+def rank(key, names):
+    """Sort names by falling score for a key.
+
+    :param key: what is placed
+    :param names: where it may be placed
+    :returns: list of names, best first
+    """
+    return sorted(names, key=lambda name: (-score(key, name), name))
+
+
+def choose_spread(key, zones_by_name, count):
+    """Choose the best names for a key, spread over availability zones.
+
+    :param key: what is placed
+    :param zones_by_name: dict from name to availability zone
+    :param count: how many names to choose
+    :returns: list of names; no zone gives a second name before each zone
+        that has one left gave a first
+    """
+    ranked = rank(key, zones_by_name)
+    chosen = []
+    passed = ranked
+    while passed and len(chosen) < count:
+        seen = set()
+        left = []
+        for name in passed:
+            zone = zones_by_name[name]
+            if zone in seen or len(chosen) >= count:
+                left.append(name)
+                continue
+            seen.add(zone)
+            chosen.append(name)
+        passed = left
+    return chosen
+
+
+def count_entries_per_sidecar(entries, group):
+    """Return how many entries keep a session with one sidecar.
+
+    :param entries: number of entries
+    :param group: number of sidecars that serve the same model or service
+    :returns: a number that gives each entry some sidecars of each group
+    """
+    wanted = math.ceil(SIDECARS_PER_ENTRY_MIN * entries / max(group, 1))
+    wanted = max(wanted, ENTRIES_PER_SIDECAR_MIN)
+    return min(wanted, ENTRIES_PER_SIDECAR_MAX)
--- /dev/null
+++ b/src/clementineline/coordination/requests.py
@@ -0,0 +1,530 @@
+"""Running requests at endpoints: attempts, retries, resumption, hedges."""
+
+import asyncio
+import contextlib
+import uuid
+
+import xxhash
+
+from clementineline.coordination import budgets
+from clementineline.coordination import waiting
+from clementineline.protocol import messages
+from clementineline.protocol import verdicts
+
+__all__ = [
+    'CallRequest',
+    'GenerateRequest',
+    'RequestRunner',
+    'build_prefix_key',
+    'read_verdict',
+]
+
+# Refusals that cost nothing at the endpoint; they do not count as retries.
+REQUEUED_REASONS = ('full', 'preempted', 'leaving', 'weights too old')
+RETRIED_STATUSES = (502, 503, 504)
+HEDGE_FACTOR = 3.0
+HEDGE_MIN_S = 0.02
+STALL_FACTOR = 8.0
+STALL_MIN_S = 0.25
+RETRY_AFTER_S = 1.0
+ATTEMPTS_MAX = 8
+SLOW_RESUME_FACTOR = 3.0
+PREFIX_CHARACTERS = 256
+
+
+class GenerateRequest:
+    """A generation as an entry runs it.
+
+    :param id: id of the request
+    :param work: the :class:`messages.Generate` of the first attempt
+    :param share: ``live`` or a trainer's name
+    :param weight: the trainer's weight
+    :param prompt_key: digest of the prompt
+    :param prefix_key: digest of the prompt's beginning
+    :param limit: most tokens; 0 for no limit
+    :param deadline: monotonic time, in seconds, or None
+    :param idempotent: whether a lost attempt may be repeated
+    :param allowed: names of endpoints that may run it; empty for all
+    :param rank: waits behind requests of its share with a smaller rank
+    """
+
+    __slots__ = (
+        'allowed',
+        'deadline',
+        'id',
+        'idempotent',
+        'limit',
+        'prefix_key',
+        'prompt_key',
+        'rank',
+        'share',
+        'weight',
+        'work',
+    )
+
+    def __init__(
+        self,
+        id,
+        work,
+        share=waiting.LIVE,
+        weight=1.0,
+        prompt_key='',
+        prefix_key='',
+        limit=0,
+        deadline=None,
+        idempotent=True,
+        allowed=(),
+        rank=0,
+    ):
+        self.id = id
+        self.work = work
+        self.share = share
+        self.weight = weight
+        self.prompt_key = prompt_key
+        self.prefix_key = prefix_key
+        self.limit = limit
+        self.deadline = deadline
+        self.idempotent = idempotent
+        self.allowed = allowed
+        self.rank = rank
+
+
+class CallRequest:
+    """A plain service call as an entry runs it.
+
+    :param id: id of the request
+    :param work: the :class:`messages.Call`
+    :param deadline: monotonic time, in seconds, or None
+    :param hedge: whether a late idempotent call may be doubled
+    :param share: ``live`` or the trainer whose samples it scores
+    """
+
+    __slots__ = ('deadline', 'hedge', 'id', 'share', 'work')
+
+    def __init__(
+        self, id, work, deadline=None, hedge=True, share=waiting.LIVE
+    ):
+        self.id = id
+        self.work = work
+        self.deadline = deadline
+        self.hedge = hedge
+        self.share = share
+
+
+def build_prefix_key(prompt):
+    """Return the digest of a prompt's beginning, for prefix affinity."""
+    beginning = prompt[:PREFIX_CHARACTERS]
+    return xxhash.xxh3_64_hexdigest(beginning.encode())
+
+
+def read_verdict(done):
+    """Turn a sidecar's Done into a verdict.
+
+    :param done: a :class:`messages.Done`
+    """
+    if done.outcome == 'answered':
+        headers = tuple((name, value) for name, value in done.headers)
+        return verdicts.Answered(
+            done.status, headers, done.body, done.finish_reason
+        )
+    if done.outcome == 'not-run':
+        return verdicts.NotRun(done.reason, RETRY_AFTER_S)
+    return verdicts.MayHaveRun(done.reason)
+
+
+class RequestRunner:
+    """Runs requests through the router, one attempt after another.
+
+    :param router: a :class:`~routing.Router`
+    :param policy: a :class:`~settings.PolicySettings`
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    :param decisions: a :class:`~decisions.DecisionLog`
+    :param predictor: function from model to its LengthPredictor
+    :param wait_max_s: longest wait of a live request without deadline
+    """
+
+    __slots__ = (
+        '_clock',
+        '_decisions',
+        '_policy',
+        '_predictor',
+        '_router',
+        '_wait_max_s',
+        'attempts',
+        'hedges',
+        'retries',
+    )
+
+    def __init__(
+        self, router, policy, clock, decisions, predictor, wait_max_s
+    ):
+        self._router = router
+        self._policy = policy
+        self._clock = clock
+        self._decisions = decisions
+        self._predictor = predictor
+        self._wait_max_s = wait_max_s
+        self.attempts = 0
+        self.retries = budgets.ShareBudget(policy.retry_budget_share)
+        self.hedges = budgets.ShareBudget(policy.hedge_budget_share)
+
+    def refuse_early(self, pool, deadline):
+        """Refuse a live request that cannot be served in time.
+
+        :param pool: the request's pool
+        :param deadline: monotonic time, in seconds, or None
+        :returns: a :class:`verdicts.NotRun`, or None to admit it
+        """
+        if not self._policy.late_binding:
+            return None
+        wait_s = pool.estimate_wait()
+        if not wait_s:
+            return None
+        # Work that would wait longer than it takes only grows the queue.
+        limit_s = max(pool.service_s, STALL_MIN_S)
+        if deadline is not None:
+            left_s = deadline - self._clock.now() - pool.service_s
+            limit_s = min(max(left_s, 0.0), self._wait_max_s)
+        if wait_s <= limit_s:
+            return None
+        return verdicts.NotRun(
+            f'expected wait {wait_s:.2f} s, accepted {limit_s:.2f} s',
+            max(RETRY_AFTER_S, wait_s - limit_s),
+        )
+
+    async def generate(self, request):
+        """Run a generation.
+
+        :param request: a :class:`GenerateRequest`
+        :returns: async iterator of Chunks; its last item is a verdict
+        """
+        pool = self._router.get_pool('engine', request.work.model)
+        self.retries.earn()
+        text = request.work.resume_text
+        produced = 0
+        avoid = ()
+        for attempt_number in range(1, ATTEMPTS_MAX + 1):
+            placement = await self.wait_for_slot(
+                pool, request, attempt_number, avoid, produced
+            )
+            if isinstance(placement, verdicts.NotRun):
+                yield self._settle_interrupted(placement, produced)
+                return
+            attempt = self._send(
+                placement, request, attempt_number, text, pool
+            )
+            verdict = None
+            follow = self._follow(pool, attempt, request)
+            async with contextlib.aclosing(follow):
+                async for event in follow:
+                    if isinstance(event, messages.Chunk):
+                        text += event.text
+                        produced += event.tokens
+                        yield event
+                        continue
+                    verdict = event
+            if isinstance(verdict, verdicts.Answered):
+                self._learn(pool, request, produced, attempt)
+                yield verdict
+                return
+            if not self._may_retry(verdict, request.idempotent, request):
+                yield self._settle_interrupted(verdict, produced)
+                return
+            avoid = (attempt.endpoint.name,)
+        yield self._settle_interrupted(verdict, produced)
+
+    def _settle_interrupted(self, verdict, produced):
+        if produced and isinstance(verdict, verdicts.NotRun):
+            return verdicts.MayHaveRun(
+                f'interrupted after {produced} tokens: {verdict.reason}'
+            )
+        return verdict
+
+    def _may_retry(self, verdict, idempotent, request):
+        """Decide whether another attempt may follow a failed one."""
+        if isinstance(verdict, verdicts.MayHaveRun) and not idempotent:
+            return False
+        if isinstance(verdict, verdicts.NotRun):
+            if verdict.reason.startswith('cancelled'):
+                return False
+            if verdict.reason in REQUEUED_REASONS:
+                return True
+        if request.deadline is not None:
+            if self._clock.now() >= request.deadline:
+                return False
+        allowed = self.retries.spend()
+        self._decisions.record(
+            'retry', request.id, allowed=allowed, reason=verdict.reason
+        )
+        return allowed
+
+    async def wait_for_slot(self, pool, request, number, avoid=(), produced=0):
+        """Wait until an endpoint has a free slot, and reserve it.
+
+        :returns: a Placement, or a NotRun verdict when time ran out
+        """
+        now = self._clock.now()
+        item = waiting.WaitingRequest(
+            f'{request.id}.{number}',
+            request.share,
+            getattr(request, 'weight', 1.0),
+            self._order(pool, request, produced, now),
+            getattr(request, 'prefix_key', ''),
+            1,
+            asyncio.get_running_loop().create_future(),
+            allowed=getattr(request, 'allowed', ()),
+            avoid=avoid,
+            min_version=getattr(request.work, 'min_version', 0),
+        )
+        timeout_s = None
+        if request.deadline is not None:
+            timeout_s = max(0.0, request.deadline - now)
+        elif request.share == waiting.LIVE:
+            timeout_s = self._wait_max_s
+        self._router.add(pool, item)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await item.future
+        except TimeoutError:
+            if item.future.done() and not item.future.cancelled():
+                item.future.result().endpoint.release(request.share)
+            self._router.withdraw(pool, item)
+            return verdicts.NotRun('no slot became free in time')
+        except asyncio.CancelledError:
+            if item.future.done() and not item.future.cancelled():
+                item.future.result().endpoint.release(request.share)
+            else:
+                pool.queue.discard(item)
+            raise
+
+    def _order(self, pool, request, produced, now):
+        """Return the position in the queue: smaller goes first."""
+        if not isinstance(request, GenerateRequest):
+            return (0, now)
+        predictor = self._predictor(request.work.model)
+        expected = predictor.predict(
+            request.prompt_key, request.share, request.limit
+        )
+        left = max(expected - produced, 1.0)
+        if not self._policy.predict_length:
+            return (request.rank, now)
+        if request.share != waiting.LIVE:
+            # Long samples first, so that none is left alone at the end.
+            return (request.rank, -left)
+        # Shortest first; a request ages by moving up with its arrival.
+        return (0, now + left * 0.01)
+
+    def _send(self, placement, request, number, text, pool):
+        work = request.work
+        if isinstance(work, messages.Generate) and text:
+            work = messages.Generate(
+                work.model, work.path, work.body, text, work.min_version
+            )
+        timeout_s = 0.0
+        if request.deadline is not None:
+            timeout_s = max(0.001, request.deadline - self._clock.now())
+        self.attempts += 1
+        return placement.endpoint.dispatch(
+            messages.Dispatch(
+                f'{request.id}.{number}.{uuid.uuid4().hex[:8]}',
+                request.share,
+                timeout_s,
+                False,
+                placement.preempts,
+                work,
+            )
+        )
+
+    async def _follow(self, pool, attempt, request):
+        """Yield an attempt's Chunks, then its verdict."""
+        stalled = False
+        try:
+            while True:
+                timeout_s = self._find_stall_timeout(pool, attempt, request)
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        event = await attempt.events.get()
+                except TimeoutError:
+                    if not stalled and self._moves_off(pool, attempt, request):
+                        stalled = True
+                        attempt.endpoint.cancel(attempt, 'slow endpoint')
+                    continue
+                if isinstance(event, messages.Chunk):
+                    yield event
+                    continue
+                verdict = read_verdict(event)
+                self._router.schedule(pool)
+                if stalled and not isinstance(verdict, verdicts.Answered):
+                    verdict = verdicts.NotRun('preempted')
+                yield verdict
+                return
+        except (asyncio.CancelledError, GeneratorExit):
+            attempt.endpoint.cancel(attempt, 'the caller went away')
+            raise
+
+    def _find_stall_timeout(self, pool, attempt, request):
+        if not self._policy.resume_stragglers or not request.idempotent:
+            return None
+        typical = attempt.endpoint.pace.pace_s
+        return max(STALL_MIN_S, STALL_FACTOR * 8 * typical)
+
+    def _moves_off(self, pool, attempt, request):
+        """Decide whether to resume an attempt on a faster endpoint."""
+        now = self._clock.now()
+        factor = pool.get_slow_factor(attempt.endpoint, now)
+        if factor < SLOW_RESUME_FACTOR:
+            return False
+        for endpoint in pool.endpoints.values():
+            if endpoint is attempt.endpoint or not endpoint.usable:
+                continue
+            if endpoint.count_free(live=request.share == waiting.LIVE) < 1:
+                continue
+            if pool.get_slow_factor(endpoint, now) >= SLOW_RESUME_FACTOR:
+                continue
+            self._decisions.record(
+                'move',
+                request.id,
+                away_from=attempt.endpoint.name,
+                reason=f'{factor:.1f} times slower than its pool',
+            )
+            return True
+        return False
+
+    def _learn(self, pool, request, produced, attempt):
+        predictor = self._predictor(request.work.model)
+        predictor.learn(request.prompt_key, request.share, produced)
+        if request.share == waiting.LIVE:
+            pool.note_duration(self._clock.now() - attempt.started_at)
+
+    async def call(self, request):
+        """Run a plain service call.
+
+        :param request: a :class:`CallRequest`
+        :returns: the verdict
+        """
+        pool = self._router.get_pool('service', request.work.service)
+        self.retries.earn()
+        self.hedges.earn()
+        verdict = None
+        avoid = ()
+        for number in range(1, ATTEMPTS_MAX + 1):
+            placement = await self.wait_for_slot(pool, request, number, avoid)
+            if isinstance(placement, verdicts.NotRun):
+                return verdict or placement
+            attempt = self._send(placement, request, number, '', pool)
+            verdict, attempt = await self._finish_call(pool, attempt, request)
+            if isinstance(verdict, verdicts.Answered):
+                pool.note_duration(self._clock.now() - attempt.started_at)
+                if verdict.status not in RETRIED_STATUSES:
+                    return verdict
+                if not request.work.idempotent or not self.retries.spend():
+                    return verdict
+            elif not self._may_retry(
+                verdict, request.work.idempotent, request
+            ):
+                return verdict
+            avoid = (attempt.endpoint.name,)
+        return verdict
+
+    async def _finish_call(self, pool, attempt, request):
+        """Wait for a call's attempt, with a hedge if it is late.
+
+        :returns: ``(verdict, attempt)`` of the attempt that counted
+        """
+        hedged = None
+        late_s = self._find_hedge_delay(pool, request)
+        try:
+            done = None
+            if late_s is not None:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(late_s):
+                        done = await attempt.events.get()
+                if done is None:
+                    hedged = self._hedge(pool, attempt, request)
+            if hedged is not None:
+                attempt, done = await self._race(attempt, hedged)
+            if done is None:
+                done = await attempt.events.get()
+        except asyncio.CancelledError:
+            attempt.endpoint.cancel(attempt, 'the caller went away')
+            if hedged is not None:
+                hedged.endpoint.cancel(hedged, 'the caller went away')
+            raise
+        self._router.schedule(pool)
+        return read_verdict(done), attempt
+
+    def _find_hedge_delay(self, pool, request):
+        if not self._policy.hedge or not request.hedge:
+            return None
+        if not request.work.idempotent or not pool.service_s:
+            return None
+        paces = []
+        for endpoint in pool.endpoints.values():
+            if endpoint.pace.pace_s:
+                paces.append(endpoint.pace.pace_s)
+        if len(paces) < 2:
+            return None
+        paces.sort()
+        typical = paces[(len(paces) - 1) // 2]
+        return max(HEDGE_MIN_S, HEDGE_FACTOR * typical)
+
+    def _hedge(self, pool, attempt, request):
+        now = self._clock.now()
+        item = waiting.WaitingRequest(
+            f'{request.id}.hedge',
+            request.share,
+            1.0,
+            (0, now),
+            '',
+            1,
+            None,
+            avoid=(attempt.endpoint.name,),
+        )
+        endpoint, scores, _ = pool.choose_endpoint(item, now)
+        if endpoint is None or endpoint is attempt.endpoint:
+            return None
+        if not self.hedges.spend():
+            return None
+        endpoint.reserve(request.share)
+        self._decisions.record(
+            'hedge',
+            request.id,
+            choice=endpoint.name,
+            late_at=attempt.endpoint.name,
+            scores=scores,
+        )
+        self.attempts += 1
+        return endpoint.dispatch(
+            messages.Dispatch(
+                f'{request.id}.hedge.{uuid.uuid4().hex[:8]}',
+                request.share,
+                0.0,
+                False,
+                '',
+                request.work,
+            )
+        )
+
+    async def _race(self, first, second):
+        """Wait for the first of two attempts that is answered."""
+        tasks = {
+            asyncio.create_task(first.events.get()): first,
+            asyncio.create_task(second.events.get()): second,
+        }
+        pending = set(tasks)
+        winner = done = None
+        try:
+            while pending:
+                finished, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in finished:
+                    winner, done = tasks[task], task.result()
+                    if done.outcome == 'answered':
+                        return winner, done
+            return winner, done
+        finally:
+            for task in pending:
+                task.cancel()
+                loser = tasks[task]
+                loser.endpoint.cancel(loser, 'another attempt answered')
--- /dev/null
+++ b/src/clementineline/coordination/samples.py
@@ -0,0 +1,419 @@
+"""The owner of a trainer's steps: makes samples and hands out whole groups.
+
+The trainer's cursor decides what was delivered; the owner may die at any
+time, and the step is then made again from what the cursor lacks.
+"""
+
+import asyncio
+import contextlib
+import json
+
+import msgspec
+
+from clementineline.coordination import requests
+from clementineline.coordination import steps
+from clementineline import errors
+from clementineline.protocol import messages
+from clementineline.protocol import verdicts
+from clementineline.state import cursor as cursors
+
+__all__ = ['PullAnswer', 'PullRequest', 'SampleOwner']
+
+FAILED_WAIT_S = 0.2
+FAILED_WAIT_MAX_S = 5.0
+FINISHED_KEPT = 8
+
+
+class PullRequest(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A trainer's pull.
+
+    :param cursor: what the trainer holds
+    :param groups_max: most groups in the answer
+    :param wait_s: longest wait for a whole group, in seconds
+    """
+
+    cursor: cursors.WireCursor
+    groups_max: int = 64
+    wait_s: float = 5.0
+
+
+class PullAnswer(msgspec.Struct, frozen=True):
+    """Whole groups that the cursor lacked, and the next cursor.
+
+    :param complete: whether the next cursor holds the whole step
+    """
+
+    groups: list[list[steps.WireSample]]
+    cursor: cursors.WireCursor
+    complete: bool
+
+
+class _Step:
+    """A step at its owner."""
+
+    __slots__ = (
+        'bound',
+        'changed',
+        'config',
+        'groups',
+        'held',
+        'request',
+        'sequence',
+        'tasks',
+        'version',
+    )
+
+    def __init__(self, request, config, sequence, version):
+        self.request = request
+        self.config = config
+        self.sequence = sequence
+        self.version = version
+        self.held = 0
+        self.tasks = {}
+        self.changed = asyncio.Event()
+        self.groups = []
+        size = request.group_size
+        for index, prompt in enumerate(request.prompts):
+            first = index * size
+            samples = [
+                steps.Sample(number) for number in range(first, first + size)
+            ]
+            self.groups.append(steps.Group(index, prompt, samples))
+
+    @property
+    def oldest_allowed(self):
+        """Oldest version that a sample may contain now."""
+        return self.version - self.config.staleness_bound_versions
+
+    def notify(self):
+        """Wake up the pulls that wait."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class SampleOwner:
+    """Owns steps of trainers in one entry.
+
+    :param runner: a :class:`~requests.RequestRunner`
+    :param configuration: the configuration in force
+    :param decisions: a :class:`~decisions.DecisionLog`
+    """
+
+    __slots__ = (
+        '_configuration',
+        '_counter',
+        '_decisions',
+        '_runner',
+        '_steps',
+        'discarded',
+        'produced',
+    )
+
+    def __init__(self, runner, configuration, decisions):
+        self._runner = runner
+        self._configuration = configuration
+        self._decisions = decisions
+        self._steps = {}
+        self._counter = 0
+        self.discarded = 0
+        self.produced = 0
+        configuration.listeners.append(self._on_configuration)
+
+    def get_steps(self):
+        """Return a dict from ``trainer/step`` to its whole groups."""
+        counts = {}
+        for (trainer, step_id), step in self._steps.items():
+            whole = sum(group.is_whole() for group in step.groups)
+            counts[f'{trainer}/{step_id}'] = whole
+        return counts
+
+    def submit(self, trainer, request):
+        """Take a step; taking it again is harmless.
+
+        :param trainer: the trainer's name
+        :param request: a :class:`steps.StepRequest`
+        :raises errors.RequestError: if the trainer is not configured, or if
+            the step's id names another step
+        """
+        config = self._configuration.get(f'trainer/{trainer}')
+        if config is None:
+            raise errors.RequestError(
+                404,
+                f'trainer {trainer!r}: not in the configuration; confirm an '
+                'intent that names it first',
+            )
+        known = self._steps.get((trainer, request.step))
+        if known is not None:
+            if known.request != request:
+                raise errors.RequestError(
+                    409,
+                    f'step {request.step!r}: was submitted before with other '
+                    'prompts or limits; expected the same',
+                )
+            return
+        self._counter += 1
+        step = _Step(
+            request, config, self._counter, self._find_version(config.model)
+        )
+        self._steps[(trainer, request.step)] = step
+        self._decisions.record(
+            'step', f'{trainer}/{request.step}', samples=request.samples
+        )
+        self._forget_finished(trainer)
+
+    def _find_version(self, model):
+        target = self._configuration.get(f'weights/{model}')
+        return target.version if target else 0
+
+    def _forget_finished(self, trainer):
+        """Forget the oldest steps that the trainer holds wholly."""
+        finished = []
+        for key, step in self._steps.items():
+            if key[0] != trainer:
+                continue
+            if step.held.bit_count() == step.request.samples:
+                finished.append(key)
+        for key in finished[:-FINISHED_KEPT]:
+            del self._steps[key]
+
+    async def pull(self, trainer, request):
+        """Return whole groups that the cursor lacks.
+
+        :param trainer: the trainer's name
+        :param request: a :class:`PullRequest`
+        :returns: a :class:`PullAnswer`, with no groups if none is whole
+        :raises errors.LostStep: if the step must be submitted again
+        :raises errors.CursorError: if the cursor does not fit the step
+        """
+        step = self._steps.get((trainer, request.cursor.step))
+        if step is None:
+            raise errors.LostStep(
+                f'step {request.cursor.step!r} of {trainer!r}: not held '
+                'here; submit it again'
+            )
+        cursor = cursors.parse_cursor(request.cursor, step.request.samples)
+        self._note_cursor(trainer, step, cursor)
+        deadline = asyncio.get_running_loop().time() + request.wait_s
+        while True:
+            groups = self._collect(trainer, step, cursor, request.groups_max)
+            lacking = step.request.samples - cursor.count()
+            left = deadline - asyncio.get_running_loop().time()
+            if groups or not lacking or left <= 0:
+                return _build_answer(step, cursor, groups)
+            changed = step.changed
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await changed.wait()
+
+    def _note_cursor(self, trainer, step, cursor):
+        """Free what the trainer holds and make what it lacks."""
+        self._raise_version(trainer, step, cursor.version)
+        step.held = cursor.bits
+        for group in step.groups:
+            for sample in group.samples:
+                if cursor.holds(sample.index):
+                    self._free(step, sample)
+                    continue
+                if sample.whole or sample.index in step.tasks:
+                    continue
+                self._start(trainer, step, group, sample)
+
+    def _free(self, step, sample):
+        task = step.tasks.pop(sample.index, None)
+        if task is not None:
+            task.cancel()
+        sample.clear()
+
+    def _start(self, trainer, step, group, sample):
+        task = asyncio.create_task(
+            self._make(trainer, step, group, sample),
+            name=f'{trainer}/{step.request.step}/{sample.index}',
+        )
+        step.tasks[sample.index] = task
+
+    def _collect(self, trainer, step, cursor, limit):
+        """Collect whole groups that are fresh enough at this moment."""
+        collected = []
+        for group in step.groups:
+            if len(collected) >= limit:
+                break
+            if cursor.holds(group.samples[0].index):
+                continue
+            if not group.is_whole():
+                continue
+            if self._renew_stale(trainer, step, group):
+                continue
+            collected.append(group)
+        return collected
+
+    def _renew_stale(self, trainer, step, group):
+        """Make the samples anew that are too old.
+
+        :returns: whether there were any
+        """
+        renewed = False
+        for sample in group.samples:
+            oldest = sample.find_oldest_version()
+            if oldest is None or oldest >= step.oldest_allowed:
+                continue
+            self._discard(trainer, step, sample, 'too old at delivery')
+            if sample.index not in step.tasks:
+                self._start(trainer, step, group, sample)
+            renewed = True
+        return renewed
+
+    def _discard(self, trainer, step, sample, reason):
+        self.discarded += 1
+        self._decisions.record(
+            'discard',
+            f'{trainer}/{step.request.step}/{sample.index}',
+            reason=reason,
+            spans=list(sample.spans),
+            oldest_allowed=step.oldest_allowed,
+        )
+        sample.clear()
+
+    def _on_configuration(self, changed):
+        for (trainer, _), step in list(self._steps.items()):
+            config = self._configuration.get(f'trainer/{trainer}')
+            if config is not None:
+                step.config = config
+            if f'weights/{step.config.model}' in changed:
+                version = self._find_version(step.config.model)
+                self._raise_version(trainer, step, version)
+
+    def _raise_version(self, trainer, step, version):
+        """Note new weights and abort samples that can no longer be fresh."""
+        if version <= step.version:
+            return
+        step.version = version
+        for group in step.groups:
+            for sample in group.samples:
+                task = step.tasks.get(sample.index)
+                oldest = sample.find_oldest_version()
+                if task is None or oldest is None:
+                    continue
+                if oldest >= step.oldest_allowed:
+                    continue
+                task.cancel()
+                self._discard(trainer, step, sample, 'too old in flight')
+                self._start(trainer, step, group, sample)
+
+    async def _make(self, trainer, step, group, sample):
+        """Make one sample, again and again until it is whole."""
+        wait_s = FAILED_WAIT_S
+        me = asyncio.current_task()
+        while True:
+            sample.attempts += 1
+            verdict = await self._generate(trainer, step, group, sample)
+            if isinstance(verdict, verdicts.Answered):
+                if sample.unvouched:
+                    self._discard(trainer, step, sample, 'unvouched version')
+                    continue
+                sample.finish_reason = verdict.finish_reason
+                if await self._score(trainer, step, group, sample):
+                    break
+                self._discard(trainer, step, sample, 'not scored')
+            await asyncio.sleep(wait_s)
+            wait_s = min(wait_s * 2, FAILED_WAIT_MAX_S)
+        sample.whole = True
+        self.produced += 1
+        if step.tasks.get(sample.index) is me:
+            del step.tasks[sample.index]
+        if group.is_whole():
+            step.notify()
+
+    async def _generate(self, trainer, step, group, sample):
+        request = self._build_request(trainer, step, group, sample)
+        verdict = verdicts.NotRun('no attempt')
+        stream = self._runner.generate(request)
+        async with contextlib.aclosing(stream):
+            async for event in stream:
+                if isinstance(event, messages.Chunk):
+                    sample.add(event)
+                    continue
+                verdict = event
+        return verdict
+
+    def _build_request(self, trainer, step, group, sample):
+        fields = dict(step.request.sampling)
+        fields['model'] = step.config.model
+        fields['prompt'] = group.prompt
+        fields['max_tokens'] = step.request.max_tokens
+        fields.setdefault('seed', sample.index)
+        work = messages.Generate(
+            step.config.model,
+            'completions',
+            json.dumps(fields).encode(),
+            sample.text,
+            max(0, step.oldest_allowed),
+        )
+        return requests.GenerateRequest(
+            f'{trainer}/{step.request.step}/{sample.index}',
+            work,
+            share=trainer,
+            weight=step.config.weight,
+            prompt_key=group.prompt,
+            prefix_key=requests.build_prefix_key(group.prompt),
+            limit=step.request.max_tokens,
+            allowed=frozenset(step.config.endpoints),
+            rank=(-step.config.priority, step.sequence),
+        )
+
+    async def _score(self, trainer, step, group, sample):
+        """Score a sample.
+
+        :returns: whether it is scored, or needs no score
+        """
+        scoring = step.request.scoring
+        if scoring is None:
+            return True
+        body = json.dumps({'prompt': group.prompt, 'text': sample.text})
+        call = messages.Call(
+            scoring.service,
+            'POST',
+            scoring.path,
+            [('content-type', 'application/json')],
+            body.encode(),
+            True,
+        )
+        request = requests.CallRequest(
+            f'{trainer}/{step.request.step}/{sample.index}/score',
+            call,
+            share=trainer,
+        )
+        wait_s = FAILED_WAIT_S
+        for _ in range(requests.ATTEMPTS_MAX):
+            verdict = await self._runner.call(request)
+            if isinstance(verdict, verdicts.Answered):
+                if verdict.status == 200:
+                    return _read_score(verdict.body, sample)
+            await asyncio.sleep(wait_s)
+            wait_s = min(wait_s * 2, FAILED_WAIT_MAX_S)
+        return False
+
+    async def stop(self):
+        """Cancel the work on all steps; their trainers submit them again."""
+        for step in self._steps.values():
+            for task in step.tasks.values():
+                task.cancel()
+        self._steps.clear()
+
+
+def _read_score(body, sample):
+    try:
+        sample.score = float(json.loads(body)['score'])
+    except (ValueError, LookupError, TypeError):
+        return False
+    return True
+
+
+def _build_answer(step, cursor, groups):
+    indices = []
+    wire = []
+    for group in groups:
+        indices.extend(sample.index for sample in group.samples)
+        wire.append([sample.to_wire() for sample in group.samples])
+    following = cursor.add(indices)
+    complete = following.count() == step.request.samples
+    return PullAnswer(wire, following.to_wire(), complete)
--- /dev/null
+++ b/src/clementineline/coordination/steps.py
@@ -0,0 +1,154 @@
+"""A trainer's step: its samples, their spans by version, and their state."""
+
+import msgspec
+
+__all__ = ['Group', 'Sample', 'Scoring', 'StepRequest', 'WireSample']
+
+SAMPLES_MAX = 65536
+
+
+class Scoring(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The service that scores a step's samples.
+
+    :param service: name of the plain service
+    :param path: path below its root; it gets ``{"prompt", "text"}`` by POST
+        and answers ``{"score": NUMBER}``
+    """
+
+    service: str
+    path: str = 'score'
+
+
+class StepRequest(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A step as a trainer submits it.
+
+    :param step: step id, unique for the trainer
+    :param prompts: prompts, one for each group
+    :param group_size: samples for each prompt
+    :param max_tokens: most tokens of a sample
+    :param scoring: how samples are scored, or None
+    :param sampling: further fields for the engine, such as temperature
+    """
+
+    step: str
+    prompts: list[str]
+    group_size: int
+    max_tokens: int = 256
+    scoring: Scoring | None = None
+    sampling: dict = {}
+
+    def __post_init__(self):
+        if not self.prompts:
+            raise ValueError('prompts: got none, expected at least one')
+        if self.group_size < 1:
+            raise ValueError(
+                f'group_size: got {self.group_size}, expected 1 or more'
+            )
+        if len(self.prompts) * self.group_size > SAMPLES_MAX:
+            raise ValueError(
+                f'prompts and group_size: got '
+                f'{len(self.prompts) * self.group_size} samples, expected '
+                f'at most {SAMPLES_MAX}'
+            )
+        if self.max_tokens < 1:
+            raise ValueError(
+                f'max_tokens: got {self.max_tokens}, expected 1 or more'
+            )
+
+    @property
+    def samples(self):
+        """Number of samples in the step."""
+        return len(self.prompts) * self.group_size
+
+
+class WireSample(msgspec.Struct, frozen=True):
+    """A sample as a trainer gets it.
+
+    :param index: index in the step; the group is index // group_size
+    :param spans: ``[weight version, tokens]`` pairs, in order
+    :param score: what the scoring service said, or None
+    """
+
+    index: int
+    text: str
+    spans: list[tuple[int, int]]
+    finish_reason: str
+    score: float | None
+
+
+class Sample:
+    """One sample while it is made and until its trainer holds it."""
+
+    __slots__ = (
+        'attempts',
+        'finish_reason',
+        'index',
+        'score',
+        'spans',
+        'text',
+        'unvouched',
+        'whole',
+    )
+
+    def __init__(self, index):
+        self.index = index
+        self.attempts = 0
+        self.clear()
+
+    def clear(self):
+        """Forget what was produced."""
+        self.text = ''
+        self.spans = []
+        self.finish_reason = ''
+        self.score = None
+        self.unvouched = False
+        self.whole = False
+
+    def add(self, chunk):
+        """Add a chunk to the text and its version to the spans."""
+        self.text += chunk.text
+        if chunk.version < 0:
+            self.unvouched = True
+        if not chunk.tokens:
+            return
+        if self.spans and self.spans[-1][0] == chunk.version:
+            version, tokens = self.spans[-1]
+            self.spans[-1] = (version, tokens + chunk.tokens)
+            return
+        self.spans.append((chunk.version, chunk.tokens))
+
+    def find_oldest_version(self):
+        """Return the oldest version in the spans, or None."""
+        oldest = None
+        for version, _ in self.spans:
+            if oldest is None or version < oldest:
+                oldest = version
+        return oldest
+
+    def to_wire(self):
+        """Return the :class:`WireSample`."""
+        return WireSample(
+            self.index,
+            self.text,
+            list(self.spans),
+            self.finish_reason,
+            self.score,
+        )
+
+
+class Group:
+    """The samples of one prompt."""
+
+    __slots__ = ('index', 'prompt', 'samples')
+
+    def __init__(self, index, prompt, samples):
+        self.index = index
+        self.prompt = prompt
+        self.samples = samples
+
+    def is_whole(self):
+        """Return whether each sample is whole and scored."""
+        for sample in self.samples:
+            if not sample.whole:
+                return False
+        return True
--- /dev/null
+++ b/src/clementineline/coordination/swaps.py
@@ -0,0 +1,190 @@
+"""Weights at the endpoint: fenced orders, verified swaps, honest stamps."""
+
+import asyncio
+
+from clementineline import errors
+from clementineline.protocol import messages
+from clementineline.transport import engine as engines
+
+__all__ = ['UNVERIFIED', 'WeightKeeper']
+
+UNVERIFIED = -1
+PROBE_INTERVAL_S = 1.0
+
+
+class WeightKeeper:
+    """Carries out weight orders on one engine and vouches for versions.
+
+    :param name: the sidecar's name
+    :param model: model that the engine serves
+    :param engine: a :class:`~engine.EngineClient`
+    :param checks_fencing: whether the engine refuses old fencing numbers
+    :param read_fence: coroutine function that reads the lease's fencing
+        number from the platform
+    :param on_change: function called after each change of state
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_checks_fencing',
+        '_engine',
+        '_fence_known',
+        '_lock',
+        '_log',
+        '_model',
+        '_name',
+        '_on_change',
+        '_read_fence',
+        '_swap',
+        'active',
+        'failures',
+        'fence',
+        'staged',
+        'state',
+    )
+
+    def __init__(
+        self, name, model, engine, checks_fencing, read_fence, on_change, log
+    ):
+        self._name = name
+        self._model = model
+        self._engine = engine
+        self._checks_fencing = checks_fencing
+        self._read_fence = read_fence
+        self._on_change = on_change
+        self._log = log
+        self._lock = asyncio.Lock()
+        self._fence_known = checks_fencing
+        self._swap = None
+        self.active = UNVERIFIED
+        self.staged = UNVERIFIED
+        self.fence = 0
+        self.failures = 0
+        self.state = 'down'
+
+    async def run(self):
+        """Ask the engine what it runs, at intervals, until cancelled."""
+        while True:
+            if not self._lock.locked():
+                async with self._lock:
+                    await self.verify()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def verify(self):
+        """Ask the engine what it runs and note its state."""
+        before = (self.active, self.staged, self.state)
+        try:
+            weights = await self._engine.read_weights()
+        except engines.EngineError as error:
+            if self.state != 'down':
+                self._log.warning('engine down', reason=str(error))
+            self.state = 'down'
+            self.active = self.staged = UNVERIFIED
+        else:
+            self._note_weights(weights)
+        if before != (self.active, self.staged, self.state):
+            self._on_change()
+
+    def _note_weights(self, weights):
+        self.staged = weights.staged
+        if self.state == 'suspect' and weights.active == self.active:
+            return
+        self.active = weights.active
+        self.state = 'ready'
+
+    def stamp(self, claimed):
+        """Return the version to stamp on a chunk that arrives now.
+
+        :param claimed: version that the engine names, or None
+        :returns: the version, or ``UNVERIFIED`` if none can be vouched for
+        """
+        if self._swap is not None:
+            if claimed in self._swap:
+                return claimed
+            return UNVERIFIED
+        if self.state != 'ready':
+            return UNVERIFIED
+        if claimed is None or claimed == self.active:
+            return self.active
+        return UNVERIFIED
+
+    async def obey(self, order):
+        """Carry out a fenced order.
+
+        :param order: a :class:`messages.Order`
+        :returns: a :class:`messages.OrderAnswer`
+        """
+        outcome, reason = await self._obey(order)
+        self._log.info(
+            'order',
+            order=order.order_id,
+            action=order.action,
+            version=order.version,
+            fence=order.fence,
+            outcome=outcome,
+            reason=reason,
+        )
+        return messages.OrderAnswer(
+            order.order_id, self._name, outcome, reason
+        )
+
+    async def _obey(self, order):
+        if order.model != self._model:
+            return 'refused', f'serves {self._model}, not {order.model}'
+        if not self._fence_known:
+            try:
+                self.fence = max(self.fence, await self._read_fence())
+                self._fence_known = True
+            except errors.PlatformError as error:
+                return 'refused', f'the lease is not known yet: {error}'
+        if order.fence < self.fence:
+            return 'refused', f'fence {order.fence} is below {self.fence}'
+        self.fence = order.fence
+        async with self._lock:
+            if order.fence < self.fence:
+                return 'refused', f'fence {order.fence} is below {self.fence}'
+            return await self._carry_out(order)
+
+    async def _carry_out(self, order):
+        if order.version <= self.active and self.state == 'ready':
+            return 'obeyed', 'already active'
+        if order.action == 'stage':
+            return await self._stage(order)
+        return await self._activate(order)
+
+    async def _stage(self, order):
+        if self.staged == order.version:
+            return 'obeyed', 'already staged'
+        try:
+            await self._engine.order_weights(
+                'stage', order.model, order.version, order.fence
+            )
+        except engines.EngineError as error:
+            self.failures += 1
+            return 'failed', str(error)
+        await self.verify()
+        if self.staged != order.version:
+            self.failures += 1
+            return 'failed', f'the engine holds {self.staged}'
+        return 'obeyed', ''
+
+    async def _activate(self, order):
+        """Swap weights, and vouch only for what the engine then says."""
+        before = self.active
+        self._swap = (before, order.version)
+        reason = ''
+        try:
+            await self._engine.order_weights(
+                'activate', order.model, order.version, order.fence
+            )
+        except engines.EngineError as error:
+            reason = str(error)
+        await self.verify()
+        self._swap = None
+        if self.active == order.version:
+            return 'obeyed', reason
+        self.failures += 1
+        if self.state == 'ready':
+            self.state = 'suspect'
+        self._on_change()
+        return 'failed', reason or f'the engine still runs {self.active}'
--- /dev/null
+++ b/src/clementineline/coordination/waiting.py
@@ -0,0 +1,117 @@
+"""Work that waits in the entry for a slot, ordered within each share.
+
+Taking the next piece of work costs the logarithm of the number that waits.
+"""
+
+import heapq
+import itertools
+
+__all__ = ['LIVE', 'WaitingQueue', 'WaitingRequest']
+
+LIVE = 'live'
+
+
+class WaitingRequest:
+    """A request that waits for a slot.
+
+    :param id: id of the request
+    :param share: ``live`` or a trainer's name
+    :param weight: the trainer's weight
+    :param order: smaller goes first within the share
+    :param prefix_key: digest of the prompt's beginning, or ''
+    :param units: predicted tokens, or 1 for a call
+    :param allowed: names of endpoints that may run it; empty for all
+    :param min_version: oldest weight version allowed to run it
+    :param future: set to the chosen endpoint's placement
+    """
+
+    __slots__ = (
+        'allowed',
+        'avoid',
+        'future',
+        'id',
+        'min_version',
+        'order',
+        'prefix_key',
+        'share',
+        'since',
+        'units',
+        'weight',
+    )
+
+    def __init__(
+        self,
+        id,
+        share,
+        weight,
+        order,
+        prefix_key,
+        units,
+        future,
+        since=0.0,
+        allowed=(),
+        avoid=(),
+        min_version=0,
+    ):
+        self.id = id
+        self.share = share
+        self.weight = weight
+        self.order = order
+        self.prefix_key = prefix_key
+        self.units = units
+        self.future = future
+        self.since = since
+        self.allowed = allowed
+        self.avoid = avoid
+        self.min_version = min_version
+
+
+class WaitingQueue:
+    """Waiting requests of one pool, a heap for each share."""
+
+    __slots__ = ('_counter', '_heaps', '_sizes')
+
+    def __init__(self):
+        self._counter = itertools.count()
+        self._heaps = {}
+        self._sizes = {}
+
+    def __len__(self):
+        return sum(self._sizes.values())
+
+    def count(self, share):
+        """Return how many requests of a share wait."""
+        return self._sizes.get(share, 0)
+
+    def add(self, request):
+        """Add a request."""
+        heap = self._heaps.setdefault(request.share, [])
+        heapq.heappush(heap, (request.order, next(self._counter), request))
+        self._sizes[request.share] = self._sizes.get(request.share, 0) + 1
+
+    def discard(self, request):
+        """Note that a request no longer waits."""
+        self._sizes[request.share] -= 1
+
+    def get_shares(self):
+        """Return the shares that have waiting requests."""
+        shares = []
+        for share, size in self._sizes.items():
+            if size:
+                shares.append(share)
+        return shares
+
+    def peek(self, share):
+        """Return the first waiting request of a share, or None."""
+        heap = self._heaps.get(share)
+        while heap:
+            request = heap[0][2]
+            if not request.future.done():
+                return request
+            heapq.heappop(heap)
+        return None
+
+    def take(self, request):
+        """Remove the request that :meth:`peek` returned."""
+        heapq.heappop(self._heaps[request.share])
+        self.discard(request)
--- /dev/null
+++ b/src/clementineline/coordination/work.py
@@ -0,0 +1,341 @@
+"""Running attempts at the endpoint, each in its own task."""
+
+import asyncio
+import dataclasses
+import functools
+
+import aiohttp
+
+from clementineline.coordination import admission as admissions
+from clementineline.coordination import waiting
+from clementineline.protocol import messages
+from clementineline.transport import engine as engines
+
+__all__ = ['EndpointWork']
+
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+ANSWER_MAX_BYTES = 6 * 1024 * 1024
+LIVE_PRIORITY = 10
+TRAINER_PRIORITY = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """An attempt that runs.
+
+    :param listeners: sessions that get its Done
+    :param sent: whether the endpoint may have received it
+    :param reason: why it is being cancelled
+    """
+
+    dispatch: messages.Dispatch
+    session: object
+    listeners: list
+    task: asyncio.Task | None = None
+    sent: bool = False
+    reason: str = ''
+
+
+class EndpointWork:
+    """Runs the attempts of one endpoint.
+
+    :param admission: an :class:`~admission.Admission`
+    :param records: the sidecar's :class:`~records.OutcomeRecords`
+    :param decisions: a :class:`~decisions.DecisionLog`
+    :param http: client for idempotent calls
+    :param http_once: client that opens a connection for each call, so that
+        the library itself never repeats one
+    :param service_url: root of the plain service, or ''
+    :param engine: the :class:`~engine.EngineClient`, or None
+    :param weights: the :class:`~swaps.WeightKeeper`, or None
+    :param call_timeout_s: longest time of one call
+    """
+
+    __slots__ = (
+        '_admission',
+        '_call_timeout_s',
+        '_decisions',
+        '_http',
+        '_http_once',
+        '_records',
+        '_running',
+        'engine',
+        'idle',
+        'service_url',
+        'tokens',
+        'weights',
+    )
+
+    def __init__(
+        self,
+        admission,
+        records,
+        decisions,
+        http,
+        http_once,
+        service_url='',
+        engine=None,
+        weights=None,
+        call_timeout_s=60.0,
+    ):
+        self._admission = admission
+        self._records = records
+        self._decisions = decisions
+        self._http = http
+        self._http_once = http_once
+        self._call_timeout_s = call_timeout_s
+        self._running = {}
+        self.service_url = service_url.rstrip('/')
+        self.engine = engine
+        self.weights = weights
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.tokens = 0
+
+    def __len__(self):
+        return len(self._running)
+
+    def dispatch(self, session, dispatch):
+        """Start an attempt, or refuse it for good.
+
+        :param session: session that gets its Chunks and its Done
+        :param dispatch: a :class:`messages.Dispatch`
+        """
+        if self._records.is_known(dispatch.id):
+            self._answer_known(session, dispatch.id)
+            return
+        reason = self._find_refusal(dispatch)
+        if not reason:
+            verdict = self._admission.admit(
+                dispatch.id, dispatch.share, dispatch.preempts
+            )
+            if isinstance(verdict, admissions.Refused):
+                reason = verdict.reason
+            elif verdict.victim:
+                self._cancel(verdict.victim, 'preempted')
+        if reason:
+            self._refuse(session, dispatch.id, reason, dispatch.keep)
+            return
+        self._records.start(dispatch.id)
+        running = _Running(dispatch, session, [session])
+        self._running[dispatch.id] = running
+        self.idle.clear()
+        running.task = asyncio.create_task(self._run(running))
+
+    def _find_refusal(self, dispatch):
+        if dispatch.keep and not self._records.has_room(ANSWER_MAX_BYTES):
+            return 'outcome records are full'
+        if not isinstance(dispatch.work, messages.Generate):
+            return ''
+        if self.weights is None:
+            return 'no engine here'
+        if dispatch.share == waiting.LIVE:
+            return ''
+        if self.weights.state != 'ready':
+            return 'weights too old'
+        if self.weights.active < dispatch.work.min_version:
+            return 'weights too old'
+        return ''
+
+    def _refuse(self, session, attempt_id, reason, keep):
+        done = messages.Done(attempt_id, 'not-run', reason)
+        self._records.finish(done, keep)
+        self._decisions.record('refuse', attempt_id, reason=reason)
+        session.send(done)
+
+    def _answer_known(self, session, attempt_id):
+        done = self._records.get(attempt_id)
+        if done is not None:
+            session.send(done)
+            return
+        running = self._running[attempt_id]
+        if session not in running.listeners:
+            running.listeners.append(session)
+
+    def attach(self, session, attempt_id):
+        """Send an attempt's Done to one more session, now or at its end.
+
+        An attempt that was never seen here is refused for good.
+        """
+        if self._records.is_known(attempt_id):
+            self._answer_known(session, attempt_id)
+            return
+        self._refuse(session, attempt_id, 'never arrived', True)
+
+    def cancel(self, attempt_id, reason):
+        """End an attempt early, unless that could leave work half done."""
+        self._cancel(attempt_id, reason)
+
+    def _cancel(self, attempt_id, reason):
+        running = self._running.get(attempt_id)
+        if running is None or running.reason:
+            return
+        work = running.dispatch.work
+        if isinstance(work, messages.Call) and not work.idempotent:
+            return
+        running.reason = reason
+        running.task.cancel()
+
+    def lose_session(self, session):
+        """End the work of an entry that will not come back for it.
+
+        Kept outcomes may be asked for by other entries: they go on.
+        """
+        for attempt_id, running in list(self._running.items()):
+            if session in running.listeners:
+                running.listeners.remove(session)
+            if running.session is session and not running.dispatch.keep:
+                self._cancel(attempt_id, 'the entry is gone')
+
+    async def _run(self, running):
+        dispatch = running.dispatch
+        timeout_s = dispatch.timeout_s or None
+        try:
+            async with asyncio.timeout(timeout_s):
+                done = await run_work(dispatch.work, self, running)
+        except asyncio.CancelledError:
+            outcome = 'may-have-run' if running.sent else 'not-run'
+            reason = running.reason or 'the sidecar stops'
+            done = messages.Done(dispatch.id, outcome, reason)
+        except TimeoutError:
+            outcome = 'may-have-run' if running.sent else 'not-run'
+            done = messages.Done(dispatch.id, outcome, 'deadline passed')
+        except Exception as error:
+            # Whatever went wrong here, the entry must hear an end.
+            self._decisions.record('fault', dispatch.id, error=repr(error))
+            done = messages.Done(
+                dispatch.id, 'may-have-run', f'sidecar fault: {error!r}'
+            )
+        finally:
+            self._admission.release(dispatch.id)
+            del self._running[dispatch.id]
+            if not self._running:
+                self.idle.set()
+        self._records.finish(done, dispatch.keep)
+        for session in running.listeners:
+            session.send(done)
+
+    async def run_generate(self, work, running):
+        """Run a generation and send its chunks.
+
+        :returns: the :class:`messages.Done`
+        """
+        attempt_id = running.dispatch.id
+        priority = TRAINER_PRIORITY
+        if running.dispatch.share == waiting.LIVE:
+            priority = LIVE_PRIORITY
+        finish_reason = ''
+        # From the first byte on, nobody can say what the engine has done.
+        running.sent = True
+        stream = self.engine.generate(
+            attempt_id, work.path, work.body, work.resume_text, priority
+        )
+        try:
+            async for chunk in stream:
+                finish_reason = chunk.finish_reason or finish_reason
+                if not chunk.text:
+                    continue
+                self.tokens += chunk.tokens
+                version = self.weights.stamp(chunk.version)
+                running.session.send(
+                    messages.Chunk(
+                        attempt_id, chunk.text, chunk.tokens, version
+                    )
+                )
+        except engines.EngineError as error:
+            outcome = 'may-have-run' if error.sent else 'not-run'
+            return messages.Done(attempt_id, outcome, str(error))
+        finally:
+            await stream.aclose()
+        return messages.Done(
+            attempt_id, 'answered', finish_reason=finish_reason
+        )
+
+    async def run_call(self, work, running):
+        """Run a plain service call.
+
+        :returns: the :class:`messages.Done`
+        """
+        attempt_id = running.dispatch.id
+        http = self._http if work.idempotent else self._http_once
+        headers = []
+        for name, value in work.headers:
+            if name.lower() not in HOP_HEADERS:
+                headers.append((name, value))
+        running.sent = True
+        try:
+            async with http.request(
+                work.method,
+                f'{self.service_url}/{work.path}',
+                headers=headers,
+                data=work.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=self._call_timeout_s, sock_connect=2.0
+                ),
+            ) as response:
+                body = await response.content.read(-1)
+                status = response.status
+                answer_headers = _pick_headers(response.headers)
+        except aiohttp.ClientConnectorError as error:
+            return messages.Done(attempt_id, 'not-run', repr(error))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return messages.Done(attempt_id, 'may-have-run', repr(error))
+        if len(body) > ANSWER_MAX_BYTES:
+            return messages.Done(
+                attempt_id,
+                'may-have-run',
+                f'the answer has {len(body)} bytes: at most '
+                f'{ANSWER_MAX_BYTES} are passed on',
+            )
+        return messages.Done(
+            attempt_id,
+            'answered',
+            status=status,
+            headers=answer_headers,
+            body=body,
+        )
+
+
+def _pick_headers(headers):
+    picked = []
+    for name, value in headers.items():
+        if name.lower() not in HOP_HEADERS:
+            # The client library's own string types cannot be encoded.
+            picked.append((str(name), str(value)))
+    return picked
+
+
+@functools.singledispatch
+async def run_work(work, runner, running):
+    """Run an attempt's work, by its type.
+
+    :param work: a :class:`messages.Generate` or :class:`messages.Call`
+    :param runner: the :class:`EndpointWork`
+    :param running: the running attempt
+    :returns: the :class:`messages.Done`
+    """
+    raise TypeError(f'{type(work).__name__}: expected Generate or Call')
+
+
+@run_work.register
+async def _run_generate(work: messages.Generate, runner, running):
+    return await runner.run_generate(work, running)
+
+
+@run_work.register
+async def _run_call(work: messages.Call, runner, running):
+    return await runner.run_call(work, running)
--- /dev/null
+++ b/src/clementineline/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of the system: ``entry`` and ``sidecar``."""
--- /dev/null
+++ b/src/clementineline/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on real processes: the demo, fault runs and measurements."""
--- /dev/null
+++ b/src/clementineline/experiments/deployments.py
@@ -0,0 +1,285 @@
+"""Small deployments of both users as real processes on loopback."""
+
+import asyncio
+import dataclasses
+import json
+
+import aiohttp
+
+from clementineline.experiments import processes
+
+__all__ = ['Deployment', 'EndpointPlan', 'build_small_fleet']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointPlan:
+    """One endpoint to start.
+
+    :param name: name of the sidecar; the endpoint's is ``NAME-endpoint``
+    :param kind: ``engine`` or ``service``
+    :param serves: model or service
+    :param availability_zone: where it runs
+    :param options: further options of the stand-in
+    :param slots: slots of the sidecar
+    :param reserve: slots for live work only
+    """
+
+    name: str
+    kind: str
+    serves: str
+    availability_zone: str
+    options: tuple = ()
+    slots: int = 8
+    reserve: int = 1
+
+
+def build_small_fleet():
+    """Return the endpoints of both users in small."""
+    fast = ('--step-s', '0.01', '--tokens-per-step', '8')
+    return [
+        EndpointPlan('kiln-1', 'engine', 'kiln-lm', 'walvis-a', fast),
+        EndpointPlan('kiln-2', 'engine', 'kiln-lm', 'swakop-b', fast),
+        EndpointPlan('desk-1', 'service', 'order-desk', 'langstrand-c'),
+        EndpointPlan('quote-1', 'engine', 'quote-lm', 'taichung', fast),
+        EndpointPlan('quote-2', 'engine', 'quote-lm', 'changhua', fast),
+        EndpointPlan('counter-1', 'service', 'counter-app', 'chiayi'),
+    ]
+
+
+class Deployment:
+    """A platform, a weight store, entries and endpoints as processes.
+
+    :param folder: folder for settings, logs and facts
+    :param endpoints: list of :class:`EndpointPlan`
+    :param entries: number of entries
+    :param entry_options: settings to merge into each entry's
+    :param sidecar_options: settings to merge into each sidecar's
+    """
+
+    def __init__(
+        self,
+        folder,
+        endpoints,
+        entries=2,
+        entry_options=None,
+        sidecar_options=None,
+    ):
+        self.group = processes.ProcessGroup(folder)
+        self.plans = {plan.name: plan for plan in endpoints}
+        self.entry_names = [f'entry-{n + 1}' for n in range(entries)]
+        self._entry_options = entry_options or {}
+        self._sidecar_options = sidecar_options or {}
+        self.ports = self._assign_ports()
+        self.http = None
+
+    def _assign_ports(self):
+        names = ['platform', 'store']
+        for name in self.entry_names:
+            names += [name, f'{name}-http']
+        for name in self.plans:
+            names += [name, f'{name}-http', f'{name}-endpoint']
+        ports = processes.find_free_ports(len(names))
+        return dict(zip(names, ports, strict=True))
+
+    def get_url(self, name):
+        """Return the HTTP root of a process by its port's name."""
+        return f'http://127.0.0.1:{self.ports[name]}'
+
+    def get_entry_urls(self):
+        """Return the HTTP roots of all entries."""
+        return [self.get_url(f'{name}-http') for name in self.entry_names]
+
+    def get_facts_path(self, name):
+        """Return the path of a stand-in's facts."""
+        return self.group.folder / f'{name}.facts'
+
+    def read_facts(self, name):
+        """Return the facts that a stand-in wrote."""
+        facts = []
+        path = self.get_facts_path(name)
+        if not path.exists():
+            return facts
+        for line in path.read_text().splitlines():
+            facts.append(json.loads(line))
+        return facts
+
+    async def start(self):
+        """Start everything and wait until it is ready."""
+        self.http = aiohttp.ClientSession()
+        self._start_standins()
+        for name in ('platform', 'store'):
+            await processes.wait_for_port(self.ports[name])
+        await self.list_vms()
+        for name in self.plans:
+            await processes.wait_for_port(self.ports[f'{name}-endpoint'])
+        for name in self.plans:
+            self.start_sidecar(name)
+        for name in self.entry_names:
+            self.start_entry(name)
+        for name in [*self.plans, *self.entry_names]:
+            await processes.wait_for_port(self.ports[f'{name}-http'])
+
+    def _start_standins(self):
+        self.group.start_standin(
+            'platform',
+            'platform',
+            '--port',
+            str(self.ports['platform']),
+            '--facts',
+            str(self.get_facts_path('platform')),
+        )
+        self.group.start_standin(
+            'store',
+            'weightstore',
+            '--port',
+            str(self.ports['store']),
+            '--download-s',
+            '0.05',
+        )
+        for name in self.plans:
+            self.start_endpoint(name)
+
+    def start_endpoint(self, name):
+        """Start the stand-in of an endpoint."""
+        plan = self.plans[name]
+        endpoint = f'{name}-endpoint'
+        port = str(self.ports[endpoint])
+        facts = str(self.get_facts_path(endpoint))
+        common = ['--port', port, '--facts', facts, *plan.options]
+        if plan.kind == 'engine':
+            self.group.start_standin(
+                endpoint,
+                'engine',
+                '--model',
+                plan.serves,
+                '--store',
+                self.get_url('store'),
+                '--slots',
+                str(plan.slots),
+                *common,
+            )
+            return
+        self.group.start_standin(
+            endpoint, 'service', '--name', plan.serves, *common
+        )
+
+    def _build_common(self, name, zone):
+        seeds = []
+        for entry in self.entry_names:
+            if entry != name:
+                seeds.append(f'127.0.0.1:{self.ports[entry]}')
+        return {
+            'name': name,
+            'availability_zone': zone,
+            'listen': f'127.0.0.1:{self.ports[name]}',
+            'http': f'127.0.0.1:{self.ports[f"{name}-http"]}',
+            'platform': {'url': self.get_url('platform')},
+            'seeds': seeds,
+        }
+
+    def start_sidecar(self, name):
+        """Start a sidecar."""
+        plan = self.plans[name]
+        settings = self._build_common(name, plan.availability_zone)
+        url = self.get_url(f'{name}-endpoint')
+        if plan.kind == 'engine':
+            settings['engine'] = {
+                'url': url,
+                'model': plan.serves,
+                'slots': plan.slots,
+                'live_reserve_slots': plan.reserve,
+                'checks_fencing': '--checks-fencing' in plan.options,
+            }
+        else:
+            settings['service'] = {
+                'url': url,
+                'service': plan.serves,
+                'slots': plan.slots,
+            }
+        settings |= self._sidecar_options
+        self.group.start_daemon(name, 'sidecar', settings)
+
+    def start_entry(self, name):
+        """Start an entry."""
+        zones = sorted({p.availability_zone for p in self.plans.values()})
+        zone = zones[self.entry_names.index(name) % len(zones)]
+        settings = self._build_common(name, zone)
+        settings |= self._entry_options
+        self.group.start_daemon(name, 'entry', settings)
+
+    async def list_vms(self, gone=(), leaving=()):
+        """Tell the platform stand-in which VMs there are."""
+        vms = {}
+        for name in [*self.plans, *self.entry_names]:
+            if name in gone:
+                continue
+            vms[name] = 'leaving' if name in leaving else 'live'
+        url = self.get_url('platform') + '/vms'
+        async with self.http.post(url, json=vms) as response:
+            response.raise_for_status()
+
+    async def set_faults(self, name, **faults):
+        """Switch faults of a stand-in by its port's name."""
+        url = self.get_url(name) + '/faults'
+        async with self.http.post(url, json=faults) as response:
+            response.raise_for_status()
+
+    async def read_status(self, entry=None):
+        """Return an entry's status, or None if it does not answer."""
+        name = entry or self.entry_names[0]
+        url = self.get_url(f'{name}-http') + '/v1/operator/status'
+        timeout = aiohttp.ClientTimeout(total=3.0)
+        try:
+            async with self.http.get(url, timeout=timeout) as response:
+                return await response.json()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    async def wait_for_status(self, is_reached, entry=None, timeout_s=20.0):
+        """Wait until an entry's status fulfils a condition.
+
+        :returns: the status
+        :raises TimeoutError: if it does not in time
+        """
+        async with asyncio.timeout(timeout_s):
+            while True:
+                status = await self.read_status(entry)
+                if status is not None and is_reached(status):
+                    return status
+                await asyncio.sleep(0.05)
+
+    async def wait_until_ready(self):
+        """Wait until each entry has a session with each endpoint."""
+
+        def is_ready(status):
+            ready = 0
+            for endpoint in status['endpoints']:
+                ready += endpoint['state'] == 'ready'
+            return ready == len(self.plans) and status['leader']
+
+        for name in self.entry_names:
+            await self.wait_for_status(is_ready, name)
+
+    async def put_in_force(self, intent, entry=None):
+        """Submit an intent and confirm its plan.
+
+        :returns: ``(plan, confirmed plan)``
+        """
+        name = entry or self.entry_names[0]
+        root = self.get_url(f'{name}-http') + '/v1/operator'
+        async with self.http.post(root + '/intents', json=intent) as answer:
+            plan = await answer.json()
+            if answer.status != 201:
+                raise RuntimeError(f'intent refused: {plan}')
+        url = f'{root}/plans/{plan["id"]}/confirm'
+        async with self.http.post(url) as answer:
+            confirmed = await answer.json()
+            if answer.status != 200:
+                raise RuntimeError(f'plan not confirmed: {confirmed}')
+        return plan, confirmed
+
+    async def stop(self):
+        """Kill all processes."""
+        if self.http is not None:
+            await self.http.close()
+        self.group.stop_all()
--- /dev/null
+++ b/src/clementineline/experiments/processes.py
@@ -0,0 +1,144 @@
+"""Starting and ending real processes on loopback for experiments."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+__all__ = ['ProcessGroup', 'find_free_ports', 'read_rss_mb', 'wait_for_port']
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+def find_free_ports(count):
+    """Return free TCP ports of the loopback address."""
+    sockets = []
+    for _ in range(count):
+        item = socket.socket()
+        item.bind(('127.0.0.1', 0))
+        sockets.append(item)
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+async def wait_for_port(port, timeout_s=START_TIMEOUT_S):
+    """Wait until a process listens on a port.
+
+    :raises TimeoutError: if none does in time
+    """
+    async with asyncio.timeout(timeout_s):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection('127.0.0.1', port)
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            writer.close()
+            return
+
+
+def read_rss_mb(pid):
+    """Return the resident memory of a process, in MB."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    for line in status.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def read_cpu_s(pid):
+    """Return the processor time of a process so far, in seconds."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')')[1]
+    parts = fields.split()
+    ticks = int(parts[11]) + int(parts[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+class ProcessGroup:
+    """Processes of one experiment, by name.
+
+    :param folder: folder for settings, logs and facts
+    """
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._processes = {}
+        self._commands = {}
+
+    def start_standin(self, name, module, *options):
+        """Start a stand-in of the package."""
+        self._start(
+            name, ['-m', f'clementineline.standins.{module}', *options]
+        )
+
+    def start_daemon(self, name, role, settings):
+        """Start an entry or sidecar with settings."""
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings, indent=1))
+        self._start(
+            name, ['-m', 'clementineline', role, '--settings', str(path)]
+        )
+
+    def _start(self, name, arguments):
+        self._commands[name] = arguments
+        log = (self.folder / f'{name}.log').open('ab')
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, *arguments], stdout=log, stderr=log
+        )
+        log.close()
+
+    def restart(self, name):
+        """Start a process again with the same arguments."""
+        self._start(name, self._commands[name])
+
+    def get_pid(self, name):
+        """Return a process's id."""
+        return self._processes[name].pid
+
+    def is_running(self, name):
+        """Return whether a process runs."""
+        return self._processes[name].poll() is None
+
+    def send_signal(self, name, number):
+        """Send a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process at once and wait for its end."""
+        process = self._processes[name]
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+    async def terminate(self, name, timeout_s=STOP_TIMEOUT_S):
+        """Ask a process to stop gracefully and wait for it.
+
+        :returns: its exit code, or None if it did not end in time
+        """
+        process = self._processes[name]
+        process.terminate()
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            code = process.poll()
+            if code is not None:
+                return code
+            await asyncio.sleep(0.05)
+        return None
+
+    def stop_all(self):
+        """Kill all processes."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
--- /dev/null
+++ b/src/clementineline/protocol/links.py
@@ -0,0 +1,371 @@
+"""Keeping sessions connected: the dialling and the accepting side.
+
+The dialling side runs one task for each peer, the accepting side one for each
+connection. Either side drops a connection on which nothing arrived for
+``silence_s`` and the dialling side opens a new one: a connection that
+something in between has forgotten is replaced, and the session goes on.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import uuid
+
+from clementineline import errors
+from clementineline.protocol import codec
+from clementineline.protocol import messages
+from clementineline.protocol import session as sessions
+from clementineline.transport import frames
+
+__all__ = [
+    'Dialler',
+    'LinkTiming',
+    'SessionListener',
+    'greet_once',
+    'jitter',
+]
+
+# Expected incarnation in a Hello that makes its sender known and no more.
+GREETING_ONLY = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """Times that keep a session alive, in seconds.
+
+    :param heartbeat_s: mean interval between heartbeats
+    :param silence_s: silence after which a connection is dropped
+    :param retain_s: how long a session waits for a new connection
+    :param redial_min_s: shortest wait before another connection
+    :param redial_max_s: longest wait before another connection
+    :param resume: whether a session survives its connection
+    """
+
+    heartbeat_s: float = 0.5
+    silence_s: float = 2.0
+    retain_s: float = 20.0
+    redial_min_s: float = 0.05
+    redial_max_s: float = 2.0
+    resume: bool = True
+
+
+def jitter(mean_s):
+    """Return a duration within a fifth of the mean, in seconds."""
+    return mean_s * random.uniform(0.8, 1.2)
+
+
+async def _send_heartbeats(session, stream, timing):
+    """Send heartbeats, and drop the connection once it is silent."""
+    loop = asyncio.get_running_loop()
+    while session.stream is stream:
+        if loop.time() - session.last_heard > timing.silence_s:
+            stream.abort()
+            return
+        session.send_heartbeat()
+        await asyncio.sleep(jitter(timing.heartbeat_s))
+
+
+async def _receive_frames(session, stream):
+    """Feed frames to the session until the connection ends."""
+    loop = asyncio.get_running_loop()
+    while session.stream is stream:
+        payload = await stream.receive()
+        session.last_heard = loop.time()
+        session.receive(codec.decode_frame(payload))
+
+
+async def _carry_session(session, stream, timing, log):
+    """Carry a session on one connection until the connection ends."""
+    session.last_heard = asyncio.get_running_loop().time()
+    heartbeats = asyncio.create_task(_send_heartbeats(session, stream, timing))
+    reason = 'replaced by a newer connection'
+    try:
+        await _receive_frames(session, stream)
+    except errors.ProtocolError as error:
+        reason = str(error)
+        if heartbeats.done():
+            reason = f'nothing received for {timing.silence_s} s'
+        if not isinstance(error, errors.ConnectionLost):
+            stream.send(codec.encode_frame(messages.Goodbye(reason)))
+    finally:
+        heartbeats.cancel()
+        session.detach(stream)
+    log.info(
+        'connection ended',
+        peer=session.peer.name,
+        session=session.id,
+        reason=reason,
+        pending=session.pending,
+    )
+
+
+class Dialler:
+    """Keeps a session to one peer; :meth:`run` is the peer's task.
+
+    :param address: the peer's :class:`~frames.Address`
+    :param own_member: function that returns this process's Member
+    :param events: this process's :class:`SessionEvents`
+    :param timing: a :class:`LinkTiming`
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_address',
+        '_events',
+        '_log',
+        '_own_member',
+        '_timing',
+        'session',
+    )
+
+    def __init__(self, address, own_member, events, timing, log):
+        self._address = address
+        self._own_member = own_member
+        self._events = events
+        self._timing = timing
+        self._log = log
+        self.session = None
+
+    async def run(self):
+        """Keep the session connected until the task is cancelled."""
+        loop = asyncio.get_running_loop()
+        wait_s = self._timing.redial_min_s
+        lost_at = None
+        try:
+            while True:
+                connected = await self._connect_once()
+                now = loop.time()
+                if connected:
+                    wait_s = self._timing.redial_min_s
+                    lost_at = now
+                    if not self._timing.resume:
+                        self._abandon()
+                elif lost_at is None:
+                    lost_at = now
+                if self.session is not None:
+                    if now - lost_at > self._timing.retain_s:
+                        self._abandon()
+                await asyncio.sleep(jitter(wait_s))
+                wait_s = min(wait_s * 2, self._timing.redial_max_s)
+        finally:
+            self._abandon()
+
+    def _abandon(self):
+        if self.session is not None:
+            self.session.abandon()
+            self.session = None
+
+    async def _connect_once(self):
+        """Open a connection and carry the session on it.
+
+        :returns: whether the peer answered at all
+        """
+        try:
+            stream = await frames.open_stream(
+                self._address, self._timing.silence_s
+            )
+        except errors.ConnectionLost:
+            return False
+        try:
+            session = await self._greet(stream)
+            await _carry_session(session, stream, self._timing, self._log)
+        except errors.ProtocolError as error:
+            self._log.info(
+                'greeting failed',
+                address=str(self._address),
+                reason=str(error),
+            )
+            return False
+        finally:
+            await stream.close()
+        return True
+
+    async def _greet(self, stream):
+        old = self.session
+        hello = messages.Hello(
+            old.id if old else uuid.uuid4().hex,
+            self._own_member(),
+            old.peer.incarnation if old else 0,
+            old.received if old else 0,
+            self._events.get_configuration_version(),
+        )
+        stream.send(codec.encode_frame(hello))
+        welcome = await self._receive_welcome(stream)
+        self._events.on_greeting(welcome.member)
+        if old is not None and welcome.resumed:
+            old.note_peer_configuration(welcome.configuration)
+            old.attach(stream, welcome.received, resumed=True)
+            return old
+        if old is not None:
+            self._abandon()
+        session = sessions.Session(
+            welcome.session_id, welcome.member, self._events
+        )
+        self.session = session
+        self._events.on_open(session)
+        session.note_peer_configuration(welcome.configuration)
+        session.attach(stream, welcome.received, resumed=False)
+        return session
+
+    async def _receive_welcome(self, stream):
+        try:
+            payload = await asyncio.wait_for(
+                stream.receive(), self._timing.silence_s
+            )
+        except asyncio.TimeoutError as error:
+            raise errors.ConnectionLost('no welcome in time') from error
+        frame = codec.decode_frame(payload)
+        if isinstance(frame, messages.Goodbye):
+            raise errors.ConnectionLost(f'peer refused: {frame.reason}')
+        if not isinstance(frame, messages.Welcome):
+            raise errors.ProtocolError(
+                f'{type(frame).__name__}: expected Welcome'
+            )
+        return frame
+
+
+class SessionListener:
+    """Accepts connections and keeps their sessions.
+
+    :param own_member: function that returns this process's Member
+    :param events: this process's :class:`SessionEvents`
+    :param timing: a :class:`LinkTiming`
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_events',
+        '_expiries',
+        '_log',
+        '_own_member',
+        '_server',
+        '_timing',
+        'sessions',
+    )
+
+    def __init__(self, own_member, events, timing, log):
+        self._own_member = own_member
+        self._events = events
+        self._timing = timing
+        self._log = log
+        self._server = None
+        self._expiries = {}
+        self.sessions = {}
+
+    async def start(self, address):
+        """Listen on an :class:`~frames.Address`."""
+        self._server = await frames.start_server(address, self._serve)
+
+    async def stop(self):
+        """Say goodbye on each connection and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for session in list(self.sessions.values()):
+            if session.stream is not None:
+                goodbye = messages.Goodbye('the process stops')
+                session.stream.send(codec.encode_frame(goodbye))
+                await session.stream.close()
+        for expiry in self._expiries.values():
+            expiry.cancel()
+
+    async def _serve(self, stream):
+        try:
+            session = await self._greet(stream)
+        except (errors.ProtocolError, asyncio.TimeoutError) as error:
+            self._log.debug('connection refused', reason=str(error))
+            with contextlib.suppress(OSError):
+                goodbye = messages.Goodbye(str(error))
+                stream.send(codec.encode_frame(goodbye))
+            return
+        try:
+            await _carry_session(session, stream, self._timing, self._log)
+        finally:
+            self._start_expiry(session)
+
+    async def _greet(self, stream):
+        payload = await asyncio.wait_for(
+            stream.receive(), self._timing.silence_s
+        )
+        hello = codec.decode_frame(payload)
+        if not isinstance(hello, messages.Hello):
+            raise errors.ProtocolError(
+                f'{type(hello).__name__}: expected Hello'
+            )
+        member = self._own_member()
+        self._events.on_greeting(hello.member)
+        if hello.expected_incarnation == GREETING_ONLY:
+            welcome = messages.Welcome('', member, False, 0, 0)
+            stream.send(codec.encode_frame(welcome))
+            raise errors.ConnectionLost('a greeting only')
+        session = self.sessions.get(hello.session_id)
+        resumed = (
+            session is not None
+            and not session.lost
+            and hello.expected_incarnation == member.incarnation
+        )
+        if not resumed:
+            if hello.received or session is not None:
+                # The state that the peer goes on from is not held here.
+                hello_id = uuid.uuid4().hex
+            else:
+                hello_id = hello.session_id
+            session = sessions.Session(hello_id, hello.member, self._events)
+            self.sessions[session.id] = session
+            self._events.on_open(session)
+        self._cancel_expiry(session)
+        welcome = messages.Welcome(
+            session.id,
+            member,
+            resumed,
+            session.received,
+            self._events.get_configuration_version(),
+        )
+        stream.send(codec.encode_frame(welcome))
+        session.note_peer_configuration(hello.configuration)
+        session.attach(stream, hello.received if resumed else 0, resumed)
+        return session
+
+    def _cancel_expiry(self, session):
+        expiry = self._expiries.pop(session.id, None)
+        if expiry is not None:
+            expiry.cancel()
+
+    def _start_expiry(self, session):
+        if session.connected or session.id not in self.sessions:
+            return
+        self._cancel_expiry(session)
+        retain_s = self._timing.retain_s if self._timing.resume else 0.0
+        self._expiries[session.id] = asyncio.get_running_loop().call_later(
+            retain_s, self._expire, session
+        )
+
+    def _expire(self, session):
+        self._expiries.pop(session.id, None)
+        if session.connected:
+            return
+        self.sessions.pop(session.id, None)
+        session.abandon()
+
+
+async def greet_once(address, member, timeout_s=2.0):
+    """Make a process known to another one, which will then dial it.
+
+    :param address: the other process's :class:`~frames.Address`
+    :param member: the :class:`messages.Member` to make known
+    :returns: whether the other process answered
+    """
+    try:
+        stream = await frames.open_stream(address, timeout_s)
+    except errors.ConnectionLost:
+        return False
+    hello = messages.Hello('', member, GREETING_ONLY, 0, 0)
+    stream.send(codec.encode_frame(hello))
+    try:
+        async with asyncio.timeout(timeout_s):
+            codec.decode_frame(await stream.receive())
+    except (errors.ProtocolError, TimeoutError):
+        return False
+    finally:
+        await stream.close()
+    return True
--- /dev/null
+++ b/src/clementineline/standins/engine.py
@@ -0,0 +1,386 @@
+"""Stand-in for a model engine: batches, caches prefixes, swaps weights.
+
+The text is a function of the prompt alone, so that whoever reads an answer
+can tell whether it is whole and its own, also after a resumption: token ``j``
+of a prompt is ``DIGEST.j`` and a space.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import random
+import re
+import zlib
+
+import aiohttp
+from starlette import responses
+from starlette import routing
+
+from clementineline.standins import server
+
+__all__ = ['EngineStandIn', 'build_token', 'find_length']
+
+BLOCK_CHARACTERS = 64
+DEFAULT_TOKENS = 32
+TAIL_SHARE = 0.03
+TAIL_FACTOR = 20
+
+
+def build_token(prompt, index):
+    """Return the text of a token.
+
+    :param prompt: the whole prompt
+    :param index: position of the token, from 0
+    """
+    return f'{zlib.crc32(prompt.encode()):08x}.{index} '
+
+
+def find_length(prompt, seed, limit):
+    """Return how many tokens a prompt and seed lead to.
+
+    ``len=N`` in the prompt asks for N tokens; ``tail=N`` for a median of N
+    with a heavy tail drawn from the prompt and the seed.
+
+    :param limit: most tokens; 0 for no limit
+    """
+    exact = re.search(r'len=(\d+)', prompt)
+    tail = re.search(r'tail=(\d+)', prompt)
+    if exact:
+        length = int(exact.group(1))
+    elif tail:
+        draw = random.Random(f'{prompt}/{seed}')
+        length = int(int(tail.group(1)) * draw.uniform(0.5, 1.5))
+        if draw.random() < TAIL_SHARE:
+            length = int(tail.group(1)) * TAIL_FACTOR
+    else:
+        length = limit or DEFAULT_TOKENS
+    if limit:
+        length = min(length, limit)
+    return max(length, 1)
+
+
+class _Sequence:
+    """One generation in the batch."""
+
+    __slots__ = (
+        'first_step',
+        'id',
+        'length',
+        'position',
+        'priority',
+        'prompt',
+        'queue',
+    )
+
+    def __init__(self, id, prompt, length, position, priority):
+        self.id = id
+        self.prompt = prompt
+        self.length = length
+        self.position = position
+        self.priority = priority
+        self.queue = asyncio.Queue()
+        self.first_step = 0
+
+
+class EngineStandIn:
+    """A model engine.
+
+    Faults: ``slow`` multiplies the time of a step; ``silent`` stops all
+    streams without an end; ``cut_after`` drops the next stream after so many
+    tokens; ``swap`` is ``fail`` (half done, an error) or ``lie`` (says it
+    worked); ``load_lag_s`` delays what ``/load`` says.
+
+    :param model: the model's name
+    :param log: a :class:`~server.FactLog`
+    :param options: the process's options
+    """
+
+    def __init__(self, model, log, options):
+        self._model = model
+        self._log = log
+        self._options = options
+        self._sequences = {}
+        self._waiting = []
+        self._cache = collections.OrderedDict()
+        self._loads = collections.deque(maxlen=1000)
+        self.version = options.version
+        self.staged = -1
+        self.fence = 0
+        self.cache_hits = 0
+        self.cache_lookups = 0
+        self.faults = server.Faults(
+            slow=1.0, silent=False, cut_after=0, swap='', load_lag_s=1.0
+        )
+
+    def build_routes(self):
+        """Build the routes of the engine."""
+        return [
+            self.faults.build_route(),
+            routing.Route('/v1/completions', self._complete, methods=['POST']),
+            routing.Route(
+                '/v1/chat/completions', self._chat, methods=['POST']
+            ),
+            routing.Route('/v1/cancel', self._cancel, methods=['POST']),
+            routing.Route('/v1/weights', self._read_weights),
+            routing.Route('/v1/weights/stage', self._stage, methods=['POST']),
+            routing.Route(
+                '/v1/weights/activate', self._activate, methods=['POST']
+            ),
+            routing.Route('/load', self._read_load),
+            routing.Route('/counts', self._count),
+        ]
+
+    async def run(self):
+        """Step the batch until cancelled."""
+        loop = asyncio.get_running_loop()
+        next_step = loop.time()
+        while True:
+            step_s = self._options.step_s * self.faults.slow
+            step_s *= 1 + self._options.batch_cost * len(self._sequences)
+            next_step = max(next_step + step_s, loop.time())
+            await asyncio.sleep(next_step - loop.time())
+            self._loads.append((loop.time(), len(self._sequences)))
+            if not self.faults.silent:
+                self._step(loop.time())
+
+    def _step(self, now):
+        self._admit()
+        tokens = self._options.tokens_per_step
+        for sequence in list(self._sequences.values()):
+            if sequence.first_step > now:
+                continue
+            end = min(sequence.position + tokens, sequence.length)
+            text = ''.join(
+                build_token(sequence.prompt, index)
+                for index in range(sequence.position, end)
+            )
+            count = end - sequence.position
+            self._log.write(
+                'tokens',
+                id=sequence.id,
+                version=self.version,
+                first=sequence.position,
+                count=count,
+            )
+            sequence.position = end
+            sequence.queue.put_nowait((text, count, self.version))
+            if end >= sequence.length:
+                del self._sequences[sequence.id]
+                sequence.queue.put_nowait(None)
+
+    def _admit(self):
+        self._waiting.sort(key=lambda sequence: -sequence.priority)
+        while self._waiting and len(self._sequences) < self._options.slots:
+            sequence = self._waiting.pop(0)
+            sequence.first_step = self._prefill(sequence)
+            self._sequences[sequence.id] = sequence
+
+    def _prefill(self, sequence):
+        """Look the prompt up in the prefix cache.
+
+        :returns: when its first token can come, in the loop's time
+        """
+        prompt = sequence.prompt
+        missing = len(prompt) % BLOCK_CHARACTERS
+        cached = True
+        for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+            block = zlib.crc32(prompt[:end].encode())
+            self.cache_lookups += 1
+            if cached and block in self._cache:
+                self.cache_hits += 1
+                self._cache.move_to_end(block)
+                continue
+            cached = False
+            missing += BLOCK_CHARACTERS
+            self._cache[block] = True
+            if len(self._cache) > self._options.cache_blocks:
+                self._cache.popitem(last=False)
+        delay_s = missing * self._options.prefill_s_per_character
+        return asyncio.get_running_loop().time() + delay_s
+
+    async def _complete(self, request):
+        fields = await request.json()
+        return self._start(fields, fields['prompt'], False)
+
+    async def _chat(self, request):
+        fields = await request.json()
+        prompt = json.dumps(fields['messages'])
+        return self._start(fields, prompt, True)
+
+    def _start(self, fields, prompt, chat):
+        limit = fields.get('max_completion_tokens') or fields.get('max_tokens')
+        length = find_length(prompt, fields.get('seed', 0), limit or 0)
+        position = fields.get('resume_text', '').count(' ')
+        sequence = _Sequence(
+            fields.get('request_id', f'local-{id(fields)}'),
+            prompt,
+            length,
+            min(position, length),
+            fields.get('priority', 0),
+        )
+        self._log.write(
+            'start', id=sequence.id, position=position, length=length
+        )
+        self._waiting.append(sequence)
+        return responses.StreamingResponse(
+            self._stream(sequence, chat), media_type='text/event-stream'
+        )
+
+    async def _stream(self, sequence, chat):
+        sent = 0
+        try:
+            while True:
+                item = await sequence.queue.get()
+                if item is None:
+                    break
+                text, count, version = item
+                sent += count
+                yield self._build_event(text, count, version, None, chat)
+                cut_after = self.faults.cut_after
+                if cut_after and sent >= cut_after:
+                    self.faults.set({'cut_after': 0})
+                    raise ConnectionResetError('cut by a fault')
+            yield self._build_event('', 0, self.version, 'stop', chat)
+            yield b'data: [DONE]\n\n'
+        finally:
+            self._forget(sequence.id)
+
+    def _build_event(self, text, tokens, version, finish_reason, chat):
+        choice = {'index': 0, 'finish_reason': finish_reason}
+        if chat:
+            choice['delta'] = {'content': text}
+        else:
+            choice['text'] = text
+        event = {'choices': [choice], 'tokens': tokens}
+        if self._options.stamps:
+            event['weights_version'] = version
+        return b'data: ' + json.dumps(event).encode() + b'\n\n'
+
+    def _forget(self, request_id):
+        self._sequences.pop(request_id, None)
+        self._waiting = [
+            item for item in self._waiting if item.id != request_id
+        ]
+
+    async def _cancel(self, request):
+        fields = await request.json()
+        self._forget(fields['request_id'])
+        return responses.JSONResponse({})
+
+    async def _read_weights(self, request):
+        return responses.JSONResponse(
+            {'active': self.version, 'staged': self.staged}
+        )
+
+    def _refuse_fence(self, fields, action):
+        self._log.write(
+            'order',
+            action=action,
+            version=fields['version'],
+            fence=fields['fence'],
+            highest=self.fence,
+        )
+        if self._options.checks_fencing and fields['fence'] < self.fence:
+            return responses.JSONResponse({'error': 'old fence'}, 409)
+        self.fence = max(self.fence, fields['fence'])
+        return None
+
+    async def _stage(self, request):
+        fields = await request.json()
+        refused = self._refuse_fence(fields, 'stage')
+        if refused is not None:
+            return refused
+        if not await self._download(fields):
+            return responses.JSONResponse({'error': 'download failed'}, 503)
+        self.staged = fields['version']
+        return responses.JSONResponse({'staged': self.staged})
+
+    async def _download(self, fields):
+        if not self._options.store:
+            return True
+        url = (
+            f'{self._options.store}/v1/weights/{self._model}/'
+            f'{fields["version"]}'
+        )
+        try:
+            async with aiohttp.ClientSession() as http:
+                async with http.get(url) as answer:
+                    return answer.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def _activate(self, request):
+        fields = await request.json()
+        refused = self._refuse_fence(fields, 'activate')
+        if refused is not None:
+            return refused
+        if self.staged != fields['version']:
+            return responses.JSONResponse({'error': 'not staged'}, 409)
+        await asyncio.sleep(self._options.swap_s)
+        fault = self.faults.swap
+        self.faults.set({'swap': ''})
+        if fault == 'fail':
+            self.staged = -1
+            return responses.JSONResponse({'error': 'half done'}, 500)
+        if fault != 'lie':
+            self.version = self.staged
+        self.staged = -1
+        self._log.write('swap', version=self.version, fault=fault)
+        return responses.JSONResponse({'active': fields['version']})
+
+    async def _read_load(self, request):
+        lagged = asyncio.get_running_loop().time() - self.faults.load_lag_s
+        load = 0
+        for at, value in self._loads:
+            if at > lagged:
+                break
+            load = value
+        return responses.JSONResponse({'running': load})
+
+    async def _count(self, request):
+        return responses.JSONResponse(
+            {
+                'running': len(self._sequences),
+                'cache_hits': self.cache_hits,
+                'cache_lookups': self.cache_lookups,
+            }
+        )
+
+
+def parse_options(arguments=None):
+    """Parse the process's options.
+
+    :param arguments: list of arguments, or None for the process's own
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--model', default='model')
+    parser.add_argument('--facts', default='')
+    parser.add_argument('--store', default='', help='weight store root')
+    parser.add_argument('--version', type=int, default=0)
+    parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--step-s', type=float, default=0.02)
+    parser.add_argument('--tokens-per-step', type=int, default=4)
+    parser.add_argument('--batch-cost', type=float, default=0.0)
+    parser.add_argument('--swap-s', type=float, default=0.02)
+    parser.add_argument('--cache-blocks', type=int, default=256)
+    parser.add_argument('--prefill-s-per-character', type=float, default=2e-6)
+    parser.add_argument('--no-stamps', dest='stamps', action='store_false')
+    parser.add_argument('--checks-fencing', action='store_true')
+    return parser.parse_args(arguments)
+
+
+def main():
+    """Run the stand-in as a process."""
+    options = parse_options()
+    standin = EngineStandIn(
+        options.model, server.FactLog(options.facts), options
+    )
+    server.serve(
+        standin.build_routes(), '127.0.0.1', options.port, [standin.run()]
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/clementineline/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the standins subpackage."""
--- /dev/null
+++ b/src/clementineline/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a process keeps: settings, configuration, records, the platform."""
--- /dev/null
+++ b/src/clementineline/state/records.py
@@ -0,0 +1,206 @@
+"""What a sidecar remembers: outcomes of attempts and idempotency keys.
+
+Both are kept for a bounded time and within a bounded number of bytes. A
+record within its time is never dropped to make room: new work is refused.
+"""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from clementineline.protocol import messages
+
+__all__ = ['KeyRecords', 'OutcomeRecords']
+
+OUTCOME_BYTES = 200
+# Outcomes that nobody may ask for again only guard against late copies.
+GUARD_RETAIN_S = 30.0
+KEY_BYTES = 400
+
+
+@dataclasses.dataclass(slots=True)
+class _Outcome:
+    done: messages.Done | None
+    expires_at: float
+    size: int
+
+
+class OutcomeRecords:
+    """Outcomes of attempts by id, so that no attempt runs twice.
+
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    :param retain_s: how long an outcome is kept after its end, in seconds
+    :param max_bytes: most bytes of outcomes
+    """
+
+    __slots__ = (
+        '_clock',
+        '_expiries',
+        '_guards',
+        '_max_bytes',
+        '_outcomes',
+        '_retain_s',
+        'used_bytes',
+    )
+
+    def __init__(self, clock, retain_s, max_bytes):
+        self._clock = clock
+        self._retain_s = retain_s
+        self._max_bytes = max_bytes
+        self._outcomes = {}
+        self._expiries = collections.deque()
+        self._guards = collections.deque()
+        self.used_bytes = 0
+
+    def __len__(self):
+        return len(self._outcomes)
+
+    def has_room(self, size):
+        """Return whether an outcome of ``size`` bytes can be kept."""
+        self.expire()
+        return self.used_bytes + OUTCOME_BYTES + size <= self._max_bytes
+
+    def is_known(self, attempt_id):
+        """Return whether the attempt was started or refused before."""
+        return attempt_id in self._outcomes
+
+    def get(self, attempt_id):
+        """Return the attempt's Done; None while it runs or if unknown."""
+        outcome = self._outcomes.get(attempt_id)
+        return outcome.done if outcome else None
+
+    def start(self, attempt_id):
+        """Note that an attempt starts."""
+        self._outcomes[attempt_id] = _Outcome(None, 0.0, OUTCOME_BYTES)
+        self.used_bytes += OUTCOME_BYTES
+
+    def finish(self, done, keep):
+        """Note how an attempt ended.
+
+        :param done: the :class:`messages.Done`
+        :param keep: keep the whole answer, not only that it ran
+        """
+        outcome = self._outcomes.get(done.id)
+        if outcome is None:
+            outcome = _Outcome(None, 0.0, 0)
+            self._outcomes[done.id] = outcome
+        self.used_bytes -= outcome.size
+        size = OUTCOME_BYTES
+        expiries = self._guards
+        retain_s = GUARD_RETAIN_S
+        if keep:
+            size += len(done.body)
+            expiries = self._expiries
+            retain_s = self._retain_s
+        else:
+            done = messages.Done(done.id, done.outcome, 'answer not kept')
+        outcome.done = done
+        outcome.size = size
+        outcome.expires_at = self._clock.now() + retain_s
+        self.used_bytes += size
+        expiries.append((outcome.expires_at, done.id))
+
+    def expire(self):
+        """Forget outcomes whose time is over."""
+        now = self._clock.now()
+        for expiries in (self._expiries, self._guards):
+            self._expire_from(expiries, now)
+
+    def _expire_from(self, expiries, now):
+        while expiries and expiries[0][0] <= now:
+            expires_at, attempt_id = expiries.popleft()
+            outcome = self._outcomes.get(attempt_id)
+            if outcome is None or outcome.expires_at != expires_at:
+                continue
+            del self._outcomes[attempt_id]
+            self.used_bytes -= outcome.size
+
+
+class KeyRecords:
+    """Records of idempotency keys at one of their homes.
+
+    :param clock: a :class:`~clementineline.clocks.Clock`
+    :param retain_s: how long a record is kept, in seconds
+    :param max_bytes: most bytes of records
+    """
+
+    __slots__ = (
+        '_clock',
+        '_expiries',
+        '_max_bytes',
+        '_records',
+        '_retain_s',
+        'used_bytes',
+    )
+
+    def __init__(self, clock, retain_s, max_bytes):
+        self._clock = clock
+        self._retain_s = retain_s
+        self._max_bytes = max_bytes
+        self._records = {}
+        self._expiries = collections.deque()
+        self.used_bytes = 0
+
+    def __len__(self):
+        return len(self._records)
+
+    def claim(self, claim):
+        """Grant a claim if its generation follows the record's.
+
+        :param claim: a :class:`messages.KeyClaim`
+        :returns: a :class:`messages.KeyAnswer`
+        """
+        self._expire()
+        record = self._records.get(claim.key)
+        if claim.record is None:
+            outcome = 'held' if record else 'absent'
+            return messages.KeyAnswer(claim.call_id, outcome, record)
+        if record is not None:
+            if record.request_id == claim.record.request_id:
+                return messages.KeyAnswer(claim.call_id, 'granted', record)
+            if record.generation != claim.generation:
+                return messages.KeyAnswer(claim.call_id, 'held', record)
+        if record is None and not self._has_room():
+            return messages.KeyAnswer(
+                claim.call_id, 'refused', None, 'key records are full'
+            )
+        self._store(claim.record, new=record is None)
+        return messages.KeyAnswer(claim.call_id, 'granted', claim.record)
+
+    def settle(self, settle):
+        """Store the first answer of a key.
+
+        :param settle: a :class:`messages.KeySettle`
+        """
+        record = self._records.get(settle.key)
+        if record is None or record.answer is not None:
+            return
+        if record.request_id != settle.request_id:
+            return
+        self.used_bytes += len(settle.answer.body)
+        self._records[settle.key] = msgspec.structs.replace(
+            record, answer=settle.answer
+        )
+
+    def _has_room(self):
+        return self.used_bytes + KEY_BYTES <= self._max_bytes
+
+    def _store(self, record, new):
+        self._records[record.key] = record
+        if not new:
+            return
+        self.used_bytes += KEY_BYTES
+        expires_at = self._clock.now() + self._retain_s
+        self._expiries.append((expires_at, record.key))
+
+    def _expire(self):
+        now = self._clock.now()
+        while self._expiries and self._expiries[0][0] <= now:
+            _, key = self._expiries.popleft()
+            record = self._records.pop(key, None)
+            if record is None:
+                continue
+            self.used_bytes -= KEY_BYTES
+            if record.answer is not None:
+                self.used_bytes -= len(record.answer.body)
--- /dev/null
+++ b/src/clementineline/transport/frames.py
@@ -0,0 +1,192 @@
+"""Length-prefixed frames over TCP streams.
+
+A frame is a four-byte big-endian length followed by that many bytes.
+Frames written in one pass of the event loop leave in one system call.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import struct
+
+from clementineline import errors
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'Address',
+    'FrameStream',
+    'open_stream',
+    'parse_address',
+    'start_server',
+]
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+READ_BYTES = 256 * 1024
+_HEADER = struct.Struct('>I')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """A TCP address: an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self):
+        return f'{self.host}:{self.port}'
+
+
+def parse_address(text):
+    """Parse ``HOST:PORT``.
+
+    :param text: an IP number and a port, joined by a colon
+    :returns: the :class:`Address`
+    :raises errors.SettingsError: if the text is not of that form
+    """
+    host, colon, port = text.rpartition(':')
+    if not colon or not host or not port.isdigit():
+        raise errors.SettingsError(
+            f'address {text!r}: expected HOST:PORT, such as 127.0.0.1:7100'
+        )
+    if not 0 < int(port) < 65536:
+        raise errors.SettingsError(
+            f'address {text!r}: expected a port from 1 to 65535'
+        )
+    return Address(host.strip('[]'), int(port))
+
+
+class FrameStream:
+    """One TCP connection that carries frames.
+
+    :param reader: the connection's stream reader
+    :param writer: the connection's stream writer
+    :param max_bytes: largest frame accepted from the peer, in bytes
+    """
+
+    __slots__ = (
+        '_buffer',
+        '_flush_handle',
+        '_frames',
+        '_loop',
+        '_partial',
+        '_reader',
+        '_writer',
+        'bytes_in',
+        'bytes_out',
+        'max_bytes',
+    )
+
+    def __init__(self, reader, writer, max_bytes=MAX_FRAME_BYTES):
+        self._reader = reader
+        self._writer = writer
+        self._loop = asyncio.get_running_loop()
+        self._buffer = []
+        self._flush_handle = None
+        self._frames = collections.deque()
+        self._partial = bytearray()
+        self.max_bytes = max_bytes
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    async def receive(self):
+        """Return the next frame's payload.
+
+        :raises errors.ConnectionLost: if the connection ended
+        :raises errors.FrameTooLarge: if the announced length is too large
+        """
+        while not self._frames:
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError as error:
+                raise errors.ConnectionLost(str(error)) from error
+            if not data:
+                raise errors.ConnectionLost('the peer closed the connection')
+            self.bytes_in += len(data)
+            self._partial += data
+            self._split_frames()
+        return self._frames.popleft()
+
+    def _split_frames(self):
+        partial = self._partial
+        start = 0
+        while len(partial) - start >= _HEADER.size:
+            (length,) = _HEADER.unpack_from(partial, start)
+            if length > self.max_bytes:
+                raise errors.FrameTooLarge(
+                    f'frame of {length} bytes: expected at most '
+                    f'{self.max_bytes}'
+                )
+            end = start + _HEADER.size + length
+            if end > len(partial):
+                break
+            self._frames.append(bytes(partial[start + _HEADER.size : end]))
+            start = end
+        if start:
+            del partial[:start]
+
+    def send(self, payload):
+        """Queue a frame; it leaves at the end of this loop pass."""
+        self._buffer.append(_HEADER.pack(len(payload)))
+        self._buffer.append(payload)
+        if self._flush_handle is None:
+            self._flush_handle = self._loop.call_soon(self._flush)
+
+    def _flush(self):
+        self._flush_handle = None
+        data = b''.join(self._buffer)
+        self._buffer.clear()
+        if self._writer.is_closing():
+            return
+        self.bytes_out += len(data)
+        self._writer.write(data)
+
+    async def close(self):
+        """Flush and close the connection; never raises on a broken one."""
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush()
+        self._writer.close()
+        with contextlib.suppress(OSError, asyncio.TimeoutError):
+            await asyncio.wait_for(self._writer.wait_closed(), 1.0)
+
+    def abort(self):
+        """Drop the connection at once, with whatever it still buffers."""
+        transport = self._writer.transport
+        if transport is not None:
+            transport.abort()
+
+
+async def open_stream(address, timeout_s):
+    """Connect to a process.
+
+    :param address: the peer's :class:`Address`
+    :param timeout_s: longest time to wait for the connection, in seconds
+    :returns: the :class:`FrameStream`
+    :raises errors.ConnectionLost: if the peer did not accept in time
+    """
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(address.host, address.port), timeout_s
+        )
+    except (OSError, asyncio.TimeoutError) as error:
+        raise errors.ConnectionLost(f'{address}: {error!r}') from error
+    return FrameStream(reader, writer)
+
+
+async def start_server(address, serve_stream):
+    """Accept connections, one task for each.
+
+    :param address: the :class:`Address` to listen on
+    :param serve_stream: coroutine function called with each FrameStream
+    :returns: the :class:`asyncio.Server`
+    """
+
+    async def accept(reader, writer):
+        stream = FrameStream(reader, writer)
+        try:
+            await serve_stream(stream)
+        finally:
+            await stream.close()
+
+    return await asyncio.start_server(accept, address.host, address.port)
