Fail key claims fast and tell leaving members at once

Cause: a claim held its slot for 2 s while its home was gone, so eight claims starved the pool; the leader learnt of a leaving sidecar only at its next greeting (5 s); an attempt cancelled before its first step never ended. Ruled out by stack dumps: lost events, wrong queue counts. Change: claims need a connected home, leaving sidecars send their member, attempts end in a done callback, refusals as full block until a report.

--- a/src/clementineline/commands/processes.py
+++ b/src/clementineline/commands/processes.py
@@ -2,17 +2,25 @@
 
 import asyncio
 import signal
+import sys
 
 import uvloop
 
 __all__ = ['run_entry', 'run_sidecar']
 
 
+def _print_tasks():
+    """Print the stack of each task, for an operator with a riddle."""
+    for task in asyncio.all_tasks():
+        task.print_stack(file=sys.stderr)
+
+
 async def _run(daemon):
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGUSR1, _print_tasks)
     await daemon.start()
     await stopping.wait()
     await daemon.stop()
--- a/src/clementineline/coordination/endpoints.py
+++ b/src/clementineline/coordination/endpoints.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         '_clock',
+        '_full',
         '_others',
         'attempts',
         'member',
@@ -54,6 +55,7 @@
         self.outstanding = {}
         self.total_outstanding = 0
         self._others = {}
+        self._full = False
         self.pace = pace.PaceTracker()
 
     @property
@@ -61,12 +63,16 @@
         """The sidecar's name."""
         return self.member.name
 
+    @property
+    def connected(self):
+        """Whether a connection to the sidecar is up."""
+        return self.session is not None and self.session.connected
+
     @property
     def usable(self):
         """Whether it may get new work."""
         return (
-            self.session is not None
-            and self.session.connected
+            self.connected
             and self.report is not None
             and not self.report.leaving
             and not self.member.leaving
@@ -76,6 +82,7 @@
     def note_report(self, report):
         """Take in the sidecar's report."""
         self.report = report
+        self._full = False
         others = {}
         for share, count in report.running.items():
             extra = count - self.outstanding.get(share, 0)
@@ -97,6 +104,9 @@
 
     def count_free(self, live):
         """Return the number of free slots for live or trainer work."""
+        if self._full:
+            # Others took slots that the last report did not show yet.
+            return 0
         free = self.report.capacity - self.count_used()
         if not live:
             free -= self.report.reserve
@@ -126,6 +136,12 @@
         attempt = Attempt(dispatch.id, self, dispatch.share, now)
         self.attempts[attempt.id] = attempt
         self.pace.start(attempt.id, now)
+        if self.session is None:
+            # The session was lost after the slot had been reserved.
+            self.note_event(
+                messages.Done(attempt.id, 'not-run', 'the session was lost')
+            )
+            return attempt
         self.session.send(dispatch)
         return attempt
 
@@ -138,6 +154,13 @@
         if attempt is None:
             attempt = Attempt(attempt_id, self, '', self._clock.now())
             self.attempts[attempt_id] = attempt
+            if self.session is None:
+                self.note_event(
+                    messages.Done(
+                        attempt_id, 'may-have-run', 'the session was lost'
+                    )
+                )
+                return attempt
             self.session.send(messages.Attach(attempt_id))
         return attempt
 
@@ -161,6 +184,8 @@
             return None
         if event.outcome == 'answered' and self.member.kind == 'service':
             self.pace.note(event.id, 1, now)
+        if event.outcome == 'not-run' and event.reason == 'full':
+            self._full = True
         self._end(attempt)
         attempt.events.put_nowait(event)
         return attempt
--- a/src/clementineline/coordination/fleet.py
+++ b/src/clementineline/coordination/fleet.py
@@ -328,6 +328,8 @@
         for member in self.members.find('sidecar'):
             if member.kind != 'engine' or member.serves != model:
                 continue
+            if member.leaving:
+                continue
             endpoint = self.endpoints.get(member.name)
             if endpoint is None:
                 active, staged = self._remote.get(member.name, (-1, -1))
@@ -338,7 +340,7 @@
                 )
                 continue
             report = endpoint.report
-            if report is None:
+            if report is None or report.leaving:
                 continue
             found.append(
                 rollout.EndpointWeights(
--- a/src/clementineline/coordination/keys.py
+++ b/src/clementineline/coordination/keys.py
@@ -243,8 +243,9 @@
         reason = ''
         for _ in range(TRIES_MAX):
             endpoint = self._get_endpoint(home.name)
-            if endpoint is None or endpoint.session is None:
-                raise _HomesUnavailable(f'{home.name}: no session')
+            # A slot is held meanwhile, so do not wait for a lost home.
+            if endpoint is None or not endpoint.connected:
+                raise _HomesUnavailable(f'{home.name}: no connection')
             if endpoint.session.peer.incarnation != home.incarnation:
                 raise _HomesUnavailable(
                     f'{home.name}: restarted since the roster was made'
--- a/src/clementineline/coordination/requests.py
+++ b/src/clementineline/coordination/requests.py
@@ -203,7 +203,10 @@
         text = request.work.resume_text
         produced = 0
         avoid = ()
-        for attempt_number in range(1, ATTEMPTS_MAX + 1):
+        attempt_number = 0
+        failures = 0
+        while failures < ATTEMPTS_MAX:
+            attempt_number += 1
             placement = await self.wait_for_slot(
                 pool, request, attempt_number, avoid, produced
             )
@@ -230,6 +233,7 @@
             if not self._may_retry(verdict, request.idempotent, request):
                 yield self._settle_interrupted(verdict, produced)
                 return
+            failures += verdict.reason not in REQUEUED_REASONS
             avoid = (attempt.endpoint.name,)
         yield self._settle_interrupted(verdict, produced)
 
@@ -286,15 +290,10 @@
             async with asyncio.timeout(timeout_s):
                 return await item.future
         except TimeoutError:
-            if item.future.done() and not item.future.cancelled():
-                item.future.result().endpoint.release(request.share)
             self._router.withdraw(pool, item)
             return verdicts.NotRun('no slot became free in time')
         except asyncio.CancelledError:
-            if item.future.done() and not item.future.cancelled():
-                item.future.result().endpoint.release(request.share)
-            else:
-                pool.queue.discard(item)
+            self._router.withdraw(pool, item)
             raise
 
     def _order(self, pool, request, produced, now):
@@ -407,7 +406,10 @@
         self.hedges.earn()
         verdict = None
         avoid = ()
-        for number in range(1, ATTEMPTS_MAX + 1):
+        number = 0
+        failures = 0
+        while failures < ATTEMPTS_MAX:
+            number += 1
             placement = await self.wait_for_slot(pool, request, number, avoid)
             if isinstance(placement, verdicts.NotRun):
                 return verdict or placement
@@ -423,6 +425,9 @@
                 verdict, request.work.idempotent, request
             ):
                 return verdict
+            else:
+                failures -= verdict.reason in REQUEUED_REASONS
+            failures += 1
             avoid = (attempt.endpoint.name,)
         return verdict
 
--- a/src/clementineline/coordination/routing.py
+++ b/src/clementineline/coordination/routing.py
@@ -297,10 +297,17 @@
         self.schedule(pool)
 
     def withdraw(self, pool, request):
-        """Take a request out of the queue, unless it was placed."""
-        if not request.future.done():
-            request.future.cancel()
-            pool.queue.discard(request)
+        """Take a request out of the queue and give its slot back.
+
+        :param request: a :class:`waiting.WaitingRequest` that was added
+        """
+        future = request.future
+        if future.done() and not future.cancelled():
+            future.result().endpoint.release(request.share)
+            self.schedule(pool)
+            return
+        future.cancel()
+        pool.queue.discard(request)
 
     def schedule(self, pool):
         """Match waiting work at the end of this pass of the event loop."""
--- a/src/clementineline/coordination/work.py
+++ b/src/clementineline/coordination/work.py
@@ -47,6 +47,7 @@
     task: asyncio.Task | None = None
     sent: bool = False
     reason: str = ''
+    done: messages.Done | None = None
 
 
 class EndpointWork:
@@ -62,6 +63,7 @@
     :param engine: the :class:`~engine.EngineClient`, or None
     :param weights: the :class:`~swaps.WeightKeeper`, or None
     :param call_timeout_s: longest time of one call
+    :param on_free: function called when a slot becomes free after a refusal
     """
 
     __slots__ = (
@@ -70,7 +72,9 @@
         '_decisions',
         '_http',
         '_http_once',
+        '_on_free',
         '_records',
+        '_refused_full',
         '_running',
         'engine',
         'idle',
@@ -90,6 +94,7 @@
         engine=None,
         weights=None,
         call_timeout_s=60.0,
+        on_free=lambda: None,
     ):
         self._admission = admission
         self._records = records
@@ -98,6 +103,8 @@
         self._http_once = http_once
         self._call_timeout_s = call_timeout_s
         self._running = {}
+        self._refused_full = False
+        self._on_free = on_free
         self.service_url = service_url.rstrip('/')
         self.engine = engine
         self.weights = weights
@@ -124,6 +131,7 @@
             )
             if isinstance(verdict, admissions.Refused):
                 reason = verdict.reason
+                self._refused_full = reason == 'full'
             elif verdict.victim:
                 self._cancel(verdict.victim, 'preempted')
         if reason:
@@ -134,6 +142,8 @@
         self._running[dispatch.id] = running
         self.idle.clear()
         running.task = asyncio.create_task(self._run(running))
+        # A task that is cancelled before its first step runs no code at all.
+        running.task.add_done_callback(lambda _: self._end(running))
 
     def _find_refusal(self, dispatch):
         if dispatch.keep and not self._records.has_room(ANSWER_MAX_BYTES):
@@ -219,14 +229,25 @@
             done = messages.Done(
                 dispatch.id, 'may-have-run', f'sidecar fault: {error!r}'
             )
-        finally:
-            self._admission.release(dispatch.id)
-            del self._running[dispatch.id]
-            if not self._running:
-                self.idle.set()
+        running.done = done
+
+    def _end(self, running):
+        """Give the slot back and tell the entries how the attempt ended."""
+        dispatch = running.dispatch
+        done = running.done
+        if done is None:
+            reason = running.reason or 'the sidecar stops'
+            done = messages.Done(dispatch.id, 'not-run', reason)
+        self._admission.release(dispatch.id)
+        del self._running[dispatch.id]
+        if not self._running:
+            self.idle.set()
         self._records.finish(done, dispatch.keep)
         for session in running.listeners:
             session.send(done)
+        if self._refused_full:
+            self._refused_full = False
+            self._on_free()
 
     async def run_generate(self, work, running):
         """Run a generation and send its chunks.
--- a/src/clementineline/daemons/entry.py
+++ b/src/clementineline/daemons/entry.py
@@ -340,7 +340,7 @@
         connected = 0
         for endpoint in self.fleet.endpoints.values():
             if endpoint.session is not None:
-                connected += endpoint.session.connected
+                connected += endpoint.connected
         metrics.set('sessions', 'Connected sidecars', connected)
         for decision, count in self.decisions.counts.items():
             metrics.set('decisions', 'Decisions', count, decision=decision)
--- a/src/clementineline/daemons/sidecar.py
+++ b/src/clementineline/daemons/sidecar.py
@@ -240,6 +240,9 @@
             running=len(self.work),
         )
         self._send_reports()
+        news = messages.MembersDelta([self.build_member()])
+        for session in list(self.listener.sessions.values()):
+            session.send(news)
 
     def _send_reports(self):
         for session in list(self.listener.sessions.values()):
@@ -276,6 +279,7 @@
             engine_client,
             self.weights,
             settings.call_timeout_s,
+            self._send_reports,
         )
         if self.weights is not None:
             await self.weights.verify()
--- a/src/clementineline/experiments/demo.py
+++ b/src/clementineline/experiments/demo.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -38,6 +39,7 @@
     'models': {'kiln-lm': {}, 'quote-lm': {}},
     'services': {'order-desk': {}, 'counter-app': {}},
 }
+LIMIT_S = 30.0
 STEPS = 10
 PROMPTS = 8
 GROUP_SIZE = 4
@@ -149,7 +151,14 @@
         await deployment.start()
         await deployment.wait_until_ready()
         await _show_intent(deployment)
-        await _run_load(deployment, ledger)
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await _run_load(deployment, ledger)
+        except TimeoutError:
+            ledger.break_promise(f'not finished within {LIMIT_S} s')
+            for name in [*deployment.plans, *deployment.entry_names]:
+                deployment.group.send_signal(name, signal.SIGUSR1)
+            await asyncio.sleep(1.0)
         await _explain(deployment, ledger)
         status = await deployment.read_status()
         print(f'repaired: {len(status["repairs"])} notes, the last ones:')
