--- a/src/clementineline/protocol/links.py
+++ b/src/clementineline/protocol/links.py
@@ -210,10 +210,9 @@
 
     async def _receive_welcome(self, stream):
         try:
-            payload = await asyncio.wait_for(
-                stream.receive(), self._timing.silence_s
-            )
-        except asyncio.TimeoutError as error:
+            async with asyncio.timeout(self._timing.silence_s):
+                payload = await stream.receive()
+        except TimeoutError as error:
             raise errors.ConnectionLost('no welcome in time') from error
         frame = codec.decode_frame(payload)
         if isinstance(frame, messages.Goodbye):
@@ -272,7 +271,7 @@
     async def _serve(self, stream):
         try:
             session = await self._greet(stream)
-        except (errors.ProtocolError, asyncio.TimeoutError) as error:
+        except (errors.ProtocolError, TimeoutError) as error:
             self._log.debug('connection refused', reason=str(error))
             with contextlib.suppress(OSError):
                 goodbye = messages.Goodbye(str(error))
@@ -284,9 +283,8 @@
             self._start_expiry(session)
 
     async def _greet(self, stream):
-        payload = await asyncio.wait_for(
-            stream.receive(), self._timing.silence_s
-        )
+        async with asyncio.timeout(self._timing.silence_s):
+            payload = await stream.receive()
         hello = codec.decode_frame(payload)
         if not isinstance(hello, messages.Hello):
             raise errors.ProtocolError(
--- /dev/null
+++ b/src/clementineline/state/tests/test_records.py
@@ -0,0 +1,94 @@
+"""Tests of the records at the sidecars."""
+
+import pytest
+
+from clementineline.protocol import messages
+from clementineline.state import records
+
+
+def build_claim(key, request_id, generation=0):
+    record = messages.KeyRecord(
+        key, generation + 1, 'f', request_id, 'endpoint', 1
+    )
+    return messages.KeyClaim('call', 1, key, generation, record)
+
+
+@pytest.fixture
+def keys(clock):
+    return records.KeyRecords(clock, 600.0, 10_000)
+
+
+@pytest.fixture
+def outcomes(clock):
+    return records.OutcomeRecords(clock, 600.0, 10_000)
+
+
+class TestKeyRecords:
+    """One attempt holds a key, and the next must know of it."""
+
+    def test_second_claim_is_told_who_holds_the_key(self, keys):
+        assert keys.claim(build_claim('k', 'a')).outcome == 'granted'
+        answer = keys.claim(build_claim('k', 'b'))
+        assert answer.outcome == 'held'
+        assert answer.record.request_id == 'a'
+
+    def test_repeated_claim_is_granted_again(self, keys):
+        keys.claim(build_claim('k', 'a'))
+        assert keys.claim(build_claim('k', 'a')).outcome == 'granted'
+
+    def test_next_generation_follows_the_holder(self, keys):
+        keys.claim(build_claim('k', 'a'))
+        assert keys.claim(build_claim('k', 'b', 1)).outcome == 'granted'
+        assert keys.claim(build_claim('k', 'c', 1)).outcome == 'held'
+
+    def test_first_answer_stays(self, keys):
+        keys.claim(build_claim('k', 'a'))
+        for body in (b'first', b'second'):
+            done = messages.Done('a', 'answered', body=body)
+            keys.settle(messages.KeySettle('k', 'a', done))
+        answer = keys.claim(messages.KeyClaim('call', 1, 'k', 0))
+        assert answer.record.answer.body == b'first'
+
+    def test_records_expire_and_free_their_bytes(self, keys, clock):
+        keys.claim(build_claim('k', 'a'))
+        clock.time_s += 601
+        assert keys.claim(build_claim('j', 'b')).outcome == 'granted'
+        assert len(keys) == 1
+        assert keys.used_bytes == records.KEY_BYTES
+
+    def test_full_records_refuse_instead_of_forgetting(self, keys):
+        for number in range(25):
+            keys.claim(build_claim(f'k{number}', 'a'))
+        answer = keys.claim(build_claim('one more', 'a'))
+        assert answer.outcome == 'refused'
+        assert keys.claim(build_claim('k0', 'b')).outcome == 'held'
+
+
+class TestOutcomeRecords:
+    """An attempt that ended or was refused is known for a while."""
+
+    def test_kept_answer_is_returned_until_it_expires(self, outcomes, clock):
+        outcomes.start('a')
+        assert outcomes.get('a') is None
+        done = messages.Done('a', 'answered', body=b'x')
+        outcomes.finish(done, keep=True)
+        clock.time_s += 599
+        outcomes.expire()
+        assert outcomes.get('a') == done
+        clock.time_s += 2
+        outcomes.expire()
+        assert not outcomes.is_known('a')
+        assert outcomes.used_bytes == 0
+
+    def test_unkept_outcome_only_guards(self, outcomes, clock):
+        outcomes.finish(messages.Done('a', 'answered', body=b'x'), False)
+        assert outcomes.get('a').body == b''
+        clock.time_s += records.GUARD_RETAIN_S + 1
+        outcomes.expire()
+        assert not outcomes.is_known('a')
+
+    def test_room_is_bounded(self, outcomes):
+        assert outcomes.has_room(5000)
+        done = messages.Done('a', 'answered', body=b'x' * 6000)
+        outcomes.finish(done, keep=True)
+        assert not outcomes.has_room(5000)
--- a/src/clementineline/transport/frames.py
+++ b/src/clementineline/transport/frames.py
@@ -23,6 +23,7 @@
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 READ_BYTES = 256 * 1024
+CLOSE_TIMEOUT_S = 1.0
 _HEADER = struct.Struct('>I')
 
 
@@ -147,8 +148,9 @@
             self._flush_handle.cancel()
             self._flush()
         self._writer.close()
-        with contextlib.suppress(OSError, asyncio.TimeoutError):
-            await asyncio.wait_for(self._writer.wait_closed(), 1.0)
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._writer.wait_closed()
 
     def abort(self):
         """Drop the connection at once, with whatever it still buffers."""
@@ -166,10 +168,11 @@
     :raises errors.ConnectionLost: if the peer did not accept in time
     """
     try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(address.host, address.port), timeout_s
-        )
-    except (OSError, asyncio.TimeoutError) as error:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+    except (OSError, TimeoutError) as error:
         raise errors.ConnectionLost(f'{address}: {error!r}') from error
     return FrameStream(reader, writer)
 
