--- a/src/clementineline/client/trainer.py
+++ b/src/clementineline/client/trainer.py
@@ -158,11 +158,16 @@
             'wait_s': PULL_WAIT_S,
         }
         self.pulls += 1
+        version = self._version
         try:
             body = await self._post('pull', request, PULL_WAIT_S)
         except _LostStep:
             await self._post('steps', self._step, CALL_EXTRA_S)
             return None
+        if version != self._version:
+            # New weights were announced meanwhile: the answer's samples may
+            # be too old by now. The cursor has not moved; ask again.
+            return None
         return msgspec.json.decode(body, type=_Pull)
 
     async def _post(self, action, value, wait_s):
--- a/src/clementineline/coordination/endpoints.py
+++ b/src/clementineline/coordination/endpoints.py
@@ -68,6 +68,13 @@
         """Whether a connection to the sidecar is up."""
         return self.session is not None and self.session.connected
 
+    def is_start(self, incarnation):
+        """Return whether the session is with this start of the sidecar."""
+        return (
+            self.session is not None
+            and self.session.peer.incarnation == incarnation
+        )
+
     @property
     def usable(self):
         """Whether it may get new work."""
--- a/src/clementineline/coordination/keys.py
+++ b/src/clementineline/coordination/keys.py
@@ -178,7 +178,7 @@
             fingerprint,
             f'{request.id}.{number}.{uuid.uuid4().hex[:8]}',
             endpoint.name,
-            endpoint.member.incarnation,
+            endpoint.session.peer.incarnation if endpoint.session else 0,
         )
         granted = False
         try:
@@ -229,18 +229,26 @@
 
         :returns: the record that holds the key after it
         """
-        homes = rosters.choose_homes(key, self._get_roster().homes)
-        for home in homes:
-            answer = await self._ask_home(home, key, generation, record)
+        roster = self._get_roster()
+        for home in rosters.choose_homes(key, roster.homes):
+            answer = await self._ask_home(
+                home, key, generation, record, roster.version
+            )
             if answer.outcome == 'held':
                 return answer.record
             if answer.outcome != 'granted':
                 raise _HomesUnavailable(answer.reason)
         return record
 
-    async def _ask_home(self, home, key, generation, record):
-        """Ask a home, again while the rosters differ."""
+    async def _ask_home(self, home, key, generation, record, version=None):
+        """Ask a home, again while it has an older roster.
+
+        :param version: roster version that the homes were chosen by; a
+            newer one here means that they must be chosen anew
+        """
         reason = ''
+        if version is None:
+            version = self._get_roster().version
         for _ in range(TRIES_MAX):
             endpoint = self._get_endpoint(home.name)
             # A slot is held meanwhile, so do not wait for a lost home.
@@ -250,9 +258,11 @@
                 raise _HomesUnavailable(
                     f'{home.name}: restarted since the roster was made'
                 )
+            if version != self._get_roster().version:
+                raise _HomesUnavailable('the roster has just changed')
             claim = messages.KeyClaim(
                 uuid.uuid4().hex,
-                self._get_roster().version,
+                version,
                 key,
                 generation,
                 record,
@@ -279,6 +289,11 @@
 
     async def _run_claimed(self, record, request):
         endpoint = self._get_endpoint(record.endpoint)
+        if endpoint is None or not endpoint.is_start(record.incarnation):
+            # A start that refused this attempt may have forgotten it.
+            if endpoint is not None:
+                endpoint.release(request.share)
+            return verdicts.NotRun(f'{record.endpoint} has restarted')
         timeout_s = 0.0
         if request.deadline is not None:
             timeout_s = max(0.001, request.deadline - self._clock.now())
@@ -310,7 +325,7 @@
             return verdicts.MayHaveRun(
                 f'{record.endpoint}, which may have run it, is out of reach'
             )
-        if endpoint.session.peer.incarnation != record.incarnation:
+        if not endpoint.is_start(record.incarnation):
             return verdicts.MayHaveRun(
                 f'{record.endpoint}, which may have run it, has restarted'
             )
