--- a/src/clementineline/experiments/checks.py
+++ b/src/clementineline/experiments/checks.py
@@ -5,7 +5,13 @@
 from clementineline.experiments import load
 from clementineline.standins import engine
 
-__all__ = ['Ledger', 'check_engine_facts', 'check_order_facts']
+__all__ = [
+    'Ledger',
+    'check_document_facts',
+    'check_engine_facts',
+    'check_leaving_facts',
+    'check_order_facts',
+]
 
 
 class Ledger:
@@ -152,5 +158,35 @@
             ledger.break_promise(f'{order}: ran {count} times')
         if outcome == 'answered' and count != 1:
             ledger.break_promise(f'{order}: answered, but ran {count} times')
-        if outcome == 'unsettled' and count:
+        if outcome == 'not run' and count:
             ledger.break_promise(f'{order}: refused as not run, but ran')
+
+
+def check_document_facts(deployment, ledger):
+    """Check that the configuration's versions only grew, one by one."""
+    last = 0
+    for fact in deployment.read_facts('platform'):
+        if fact['fact'] != 'write' or fact['kind'] != 'configuration':
+            continue
+        if fact['document'] != last + 1:
+            ledger.break_promise(
+                f'configuration {fact["document"]} was written after {last}'
+            )
+        last = fact['document']
+
+
+def check_leaving_facts(deployment, ledger, left_at, limit_s):
+    """Check that an endpoint that leaves got no new work after a while.
+
+    :param left_at: dict from sidecar to when its stop began and ended
+    :param limit_s: how long new work may still arrive, in seconds
+    """
+    for name, (began, ended) in left_at.items():
+        for fact in deployment.read_facts(f'{name}-endpoint'):
+            if fact['fact'] not in ('start', 'run'):
+                continue
+            if began + limit_s < fact['at'] < ended:
+                ledger.break_promise(
+                    f'{name}: new work {fact["at"] - began:.1f} s after '
+                    'its planned stop began'
+                )
--- a/src/clementineline/experiments/load.py
+++ b/src/clementineline/experiments/load.py
@@ -95,10 +95,16 @@
 
 
 async def _send_order(http, urls, ledger, service, number):
-    """Place one order, and repeat it with its key until it is settled."""
+    """Place one order, and repeat it with its key until it is settled.
+
+    Each fifth order has no key and is placed only once.
+    """
     key = uuid.uuid4().hex
     order = f'{service} order {key}'
-    outcome = 'unsettled'
+    if number % 5 == 4:
+        await _send_order_once(http, urls, ledger, service, order, number)
+        return
+    outcome = 'not run'
     for repeat in range(REPEATS_MAX):
         url = urls[(number + repeat) % len(urls)]
         try:
@@ -117,12 +123,30 @@
                 ledger.break_promise(f'order {key}: got another answer')
             break
         ledger.note_order_attempt(key, verdict)
-        if verdict == 'may-have-run':
-            outcome = verdict
+        if verdict != 'not-run':
+            outcome = 'unknown'
         await asyncio.sleep(REPEAT_WAIT_S)
     ledger.note_order(key, order, outcome)
 
 
+async def _send_order_once(http, urls, ledger, service, order, number):
+    url = urls[number % len(urls)]
+    outcome = 'unknown'
+    try:
+        async with http.post(
+            f'{url}/services/{service}/orders', data=order
+        ) as response:
+            verdict = response.headers.get('Clementineline-Verdict')
+            await response.read()
+            if verdict == 'answered':
+                outcome = 'answered'
+            elif verdict == 'not-run':
+                outcome = 'not run'
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        pass
+    ledger.note_order(order, order, outcome)
+
+
 async def send_orders(urls, ledger, service, interval_s, stopping):
     """Place orders at a fixed rate until told to stop.
 
