Give a dispatch time to arrive before it is refused for good

Cause: two entries with the same key refused each other's attempts in turn, eight times each, and none ran: safe, but the callers got no answer (found by the test of two callers at once).

--- /dev/null
+++ b/src/clementineline/coordination/tests/test_routing.py
@@ -0,0 +1,262 @@
+"""Tests of routing: waiting work meets free slots."""
+
+import asyncio
+
+import pytest
+
+from clementineline.coordination import endpoints
+from clementineline.coordination import routing
+from clementineline.coordination import shares
+from clementineline.coordination import waiting
+from clementineline.protocol import messages
+from clementineline.state import settings
+
+
+class FakeSession:
+    """A connected session that keeps what was sent."""
+
+    def __init__(self, peer):
+        self.connected = True
+        self.peer = peer
+        self.sent = []
+
+    def send(self, body):
+        self.sent.append(body)
+
+
+@pytest.fixture
+def build_endpoint(build_member, clock):
+    def build(name, capacity=4, kind='engine', **report):
+        member = build_member(name, kind=kind, serves='m')
+        endpoint = endpoints.Endpoint(member, clock)
+        endpoint.session = FakeSession(member)
+        fields = {
+            'running': {},
+            'reserve': 0,
+            'active_version': 0,
+            'staged_version': -1,
+            'leaving': False,
+            'fence': 0,
+            'state': 'ready',
+        }
+        endpoint.note_report(messages.Report(capacity, **(fields | report)))
+        return endpoint
+
+    return build
+
+
+@pytest.fixture
+def build_router(clock, decision_log):
+    def build(*pool_endpoints, weights=None, **policy):
+        weights = weights or {}
+        router = routing.Router(
+            settings.PolicySettings(**policy),
+            clock,
+            decision_log,
+            lambda trainer: weights.get(trainer, 1.0),
+        )
+        for endpoint in pool_endpoints:
+            router.add_endpoint(endpoint)
+        return router
+
+    return build
+
+
+def build_request(id='r', share='live', weight=1.0, order=(0, 0), **fields):
+    future = asyncio.get_running_loop().create_future()
+    return waiting.WaitingRequest(
+        id, share, weight, order, '', 1, future, **fields
+    )
+
+
+def place(router, kind, *requests):
+    pool = router.get_pool(kind, 'm')
+    for request in requests:
+        router.add(pool, request)
+    router.pump(pool)
+    return pool
+
+
+class TestRouter:
+    """Work is bound late, to endpoints that may run it."""
+
+    async def test_waits_until_a_slot_is_free(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a', capacity=1)
+        router = build_router(endpoint)
+        first, second = build_request('1'), build_request('2')
+        pool = place(router, 'engine', first, second)
+        assert first.future.result().endpoint is endpoint
+        assert not second.future.done()
+        endpoint.release('live')
+        router.pump(pool)
+        assert second.future.done()
+
+    @pytest.mark.parametrize(
+        'report', [{'leaving': True}, {'capacity': 0}, {'capacity': 4}]
+    )
+    async def test_only_usable_endpoints(
+        self, build_endpoint, build_router, report
+    ):
+        endpoint = build_endpoint('a', **report)
+        if not report.get('leaving') and report['capacity']:
+            endpoint.session.connected = False
+        request = build_request()
+        place(build_router(endpoint), 'engine', request)
+        assert not request.future.done()
+
+    async def test_reserve_is_kept_for_live_work(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a', capacity=2, reserve=1)
+        router = build_router(endpoint)
+        trainers = [build_request(str(n), 'trainer') for n in range(2)]
+        live = build_request('live')
+        place(router, 'engine', *trainers, live)
+        assert live.future.done()
+        assert [item.future.done() for item in trainers] == [True, False]
+
+    async def test_old_weights_get_no_samples(
+        self, build_endpoint, build_router
+    ):
+        old = build_endpoint('old', active_version=3)
+        new = build_endpoint('new', active_version=4)
+        request = build_request('s', 'trainer', min_version=4)
+        place(build_router(old, new), 'engine', request)
+        assert request.future.result().endpoint is new
+
+    async def test_scoring_calls_ignore_weight_versions(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a', kind='service', active_version=-1)
+        request = build_request('s', 'trainer')
+        place(build_router(endpoint), 'service', request)
+        assert request.future.done()
+
+    async def test_full_refusal_blocks_until_the_next_report(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a')
+        router = build_router(endpoint)
+        first = build_request('1')
+        place(router, 'engine', first)
+        endpoint.dispatch(
+            messages.Dispatch(
+                '1', 'live', 0.0, False, '', messages.Generate('m', 'p', b'')
+            )
+        )
+        endpoint.note_event(messages.Done('1', 'not-run', 'full'))
+        again = build_request('2')
+        pool = place(router, 'engine', again)
+        assert not again.future.done()
+        endpoint.note_report(endpoint.report)
+        router.pump(pool)
+        assert again.future.done()
+
+    async def test_live_preempts_trainers_on_full_engines(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a', capacity=2, running={'trainer': 2})
+        live = build_request('live')
+        place(build_router(endpoint), 'engine', live)
+        assert live.future.result().preempts == 'trainer'
+
+    async def test_calls_of_services_are_never_preempted(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint(
+            'a', capacity=2, kind='service', running={'trainer': 2}
+        )
+        live = build_request('live')
+        place(build_router(endpoint), 'service', live)
+        assert not live.future.done()
+
+    async def test_slow_endpoint_only_gets_a_probe(
+        self, build_endpoint, build_router, clock
+    ):
+        fast = build_endpoint('fast', capacity=3)
+        other = build_endpoint('other', capacity=3)
+        slow = build_endpoint('slow', capacity=3)
+        fast.pace.pace_s = other.pace.pace_s = 0.01
+        slow.pace.pace_s = 0.1
+        requests = [build_request(str(n)) for n in range(9)]
+        router = build_router(fast, other, slow)
+        place(router, 'engine', *requests)
+        assert fast.total_outstanding == 3
+        assert other.total_outstanding == 3
+        assert slow.total_outstanding == 1
+
+    async def test_withdrawn_request_gives_its_slot_back(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a')
+        router = build_router(endpoint)
+        placed, waits = build_request('1'), build_request('2')
+        pool = place(router, 'engine', placed)
+        router.add(pool, waits)
+        router.withdraw(pool, placed)
+        router.withdraw(pool, waits)
+        assert endpoint.total_outstanding == 0
+        assert len(pool.queue) == 0
+
+    async def test_dispatch_after_a_lost_session_ends_as_not_run(
+        self, build_endpoint, build_router
+    ):
+        endpoint = build_endpoint('a')
+        request = build_request('1')
+        place(build_router(endpoint), 'engine', request)
+        endpoint.session = None
+        attempt = endpoint.dispatch(
+            messages.Dispatch(
+                '1', 'live', 0.0, False, '', messages.Generate('m', 'p', b'')
+            )
+        )
+        assert attempt.events.get_nowait().outcome == 'not-run'
+        assert endpoint.total_outstanding == 0
+
+
+class TestShares:
+    """Engines are shared by weight, lent when idle, and taken back."""
+
+    async def test_slots_follow_the_weights(
+        self, build_endpoint, build_router
+    ):
+        weights = {'a': 3.0, 'b': 1.0}
+        endpoint = build_endpoint('e', capacity=8)
+        requests = []
+        for trainer, weight in weights.items():
+            for number in range(8):
+                requests.append(
+                    build_request(f'{trainer}{number}', trainer, weight)
+                )
+        place(build_router(endpoint, weights=weights), 'engine', *requests)
+        assert endpoint.count_share('a') == 6
+        assert endpoint.count_share('b') == 2
+
+    async def test_idle_share_is_lent_and_taken_back(
+        self, build_endpoint, build_router
+    ):
+        weights = {'a': 3.0, 'b': 1.0}
+        endpoint = build_endpoint('e', capacity=8)
+        router = build_router(endpoint, weights=weights)
+        borrowed = [build_request(f'b{n}', 'b', 1.0) for n in range(8)]
+        place(router, 'engine', *borrowed)
+        assert endpoint.count_share('b') == 8
+        back = [build_request(f'a{n}', 'a', 3.0) for n in range(8)]
+        place(router, 'engine', *back)
+        assert back[0].future.result().preempts == 'b'
+
+    @pytest.mark.parametrize(
+        ('used', 'expected'),
+        [
+            ({'a': 5, 'b': 3}, 'b'),
+            ({'a': 6, 'b': 2}, None),
+            ({'a': 0, 'b': 1}, None),
+            ({'a': 2, 'live': 6}, None),
+        ],
+    )
+    async def test_victim_only_beyond_its_fair_share(self, used, expected):
+        request = build_request('r', 'a', 3.0)
+        weights = {'a': 3.0, 'b': 1.0}
+        assert shares.choose_victim_share(request, used, weights) == expected
--- a/src/clementineline/coordination/work.py
+++ b/src/clementineline/coordination/work.py
@@ -27,6 +27,7 @@
         'upgrade',
     }
 )
+ATTACH_GRACE_S = 0.25
 ANSWER_MAX_BYTES = 6 * 1024 * 1024
 LIVE_PRIORITY = 10
 TRAINER_PRIORITY = 0
@@ -178,8 +179,18 @@
     def attach(self, session, attempt_id):
         """Send an attempt's Done to one more session, now or at its end.
 
-        An attempt that was never seen here is refused for good.
+        An attempt that was never seen here is refused for good, but not at
+        once: its dispatch may be on its way, and two entries that refuse
+        each other's attempts would never get one to run.
         """
+        if self._records.is_known(attempt_id):
+            self._answer_known(session, attempt_id)
+            return
+        asyncio.get_running_loop().call_later(
+            ATTACH_GRACE_S, self._attach_late, session, attempt_id
+        )
+
+    def _attach_late(self, session, attempt_id):
         if self._records.is_known(attempt_id):
             self._answer_known(session, attempt_id)
             return
