Let trainers use the part of the reserve that live work has taken

Cause: the reserve was kept free beside running live work, so a slot stood idle; a trainer just below its share got no slot back at exact balance. Change: only the unused reserve is kept; a share gives way at equal ratios.

--- a/src/clementineline/coordination/admission.py
+++ b/src/clementineline/coordination/admission.py
@@ -54,7 +54,9 @@
             return Refused('leaving')
         limit = self.capacity
         if share != waiting.LIVE:
-            limit -= self.reserve
+            # Live work that runs has taken its part of the reserve.
+            live = self.count_running().get(waiting.LIVE, 0)
+            limit -= max(0, self.reserve - live)
         if len(self._running) - len(self._giving_way) < limit:
             self._running[attempt_id] = share
             return Admitted()
--- a/src/clementineline/coordination/endpoints.py
+++ b/src/clementineline/coordination/endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from clementineline.coordination import pace
+from clementineline.coordination import waiting
 from clementineline.protocol import messages
 
 __all__ = ['Attempt', 'Endpoint']
@@ -116,7 +117,9 @@
             return 0
         free = self.report.capacity - self.count_used()
         if not live:
-            free -= self.report.reserve
+            # Live work that runs has taken its part of the reserve.
+            unused = self.report.reserve - self.count_share(waiting.LIVE)
+            free -= max(0, unused)
         return free
 
     def reserve(self, share):
--- a/src/clementineline/coordination/shares.py
+++ b/src/clementineline/coordination/shares.py
@@ -41,6 +41,6 @@
         if weight is None or share == request.share:
             continue
         ratio = (count - 1) / weight
-        if ratio > worst_ratio:
+        if ratio >= worst_ratio:
             worst, worst_ratio = share, ratio
     return worst
