--- a/src/clementineline/coordination/routing.py
+++ b/src/clementineline/coordination/routing.py
@@ -143,7 +143,7 @@
             return None, factors, 'only slow endpoints are free'
         if request.prefix_key and self.policy.prefix_affinity:
             chosen = self.affinity.choose(
-                request.prefix_key, self.endpoints, healthy
+                request.prefix_key, self.endpoints, healthy, now
             )
             if chosen is not None:
                 return chosen, factors, 'prefix affinity'
@@ -371,6 +371,7 @@
                 return None
             endpoint, preempts = placement.endpoint, placement.preempts
             reason = f'preempts {preempts}'
+        pool.affinity.note(endpoint.name, now)
         self._decisions.record(
             'route',
             request.id,
--- a/src/clementineline/experiments/deployments.py
+++ b/src/clementineline/experiments/deployments.py
@@ -22,6 +22,7 @@
     :param options: further options of the stand-in
     :param slots: slots of the sidecar
     :param reserve: slots for live work only
+    :param sidecar_slots: slots of the sidecar, if other than the endpoint's
     """
 
     name: str
@@ -31,6 +32,7 @@
     options: tuple = ()
     slots: int = 8
     reserve: int = 1
+    sidecar_slots: int = 0
 
 
 def build_small_fleet():
@@ -186,7 +188,7 @@
             settings['engine'] = {
                 'url': url,
                 'model': plan.serves,
-                'slots': plan.slots,
+                'slots': plan.sidecar_slots or plan.slots,
                 'live_reserve_slots': plan.reserve,
                 'checks_fencing': '--checks-fencing' in plan.options,
             }
@@ -194,7 +196,7 @@
             settings['service'] = {
                 'url': url,
                 'service': plan.serves,
-                'slots': plan.slots,
+                'slots': plan.sidecar_slots or plan.slots,
             }
         settings |= self._sidecar_options
         self.group.start_daemon(name, 'sidecar', settings)
--- a/src/clementineline/standins/server.py
+++ b/src/clementineline/standins/server.py
@@ -83,6 +83,7 @@
         log_config=None,
         access_log=False,
         lifespan='off',
+        timeout_keep_alive=75,
         timeout_graceful_shutdown=1,
         backlog=2048,
     )
