Answer not ready in place of unknown before any configuration

Change: 503 not-run until a configuration is known; heartbeats every 0.8 s, silence found after 2.4 s, reports only when they changed; slopes.py; tests for sample delivery and the lease.

--- a/src/clementineline/coordination/samples.py
+++ b/src/clementineline/coordination/samples.py
@@ -134,7 +134,9 @@
         :param request: a :class:`steps.StepRequest`
         :raises errors.RequestError: if the trainer is not configured, or if
             the step's id names another step
+        :raises errors.NotReady: if no configuration is known yet
         """
+        self._configuration.check_ready()
         config = self._configuration.get(f'trainer/{trainer}')
         if config is None:
             raise errors.RequestError(
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -0,0 +1,120 @@
+"""Tests of the lease: one holder, whatever clocks and the store do."""
+
+import pytest
+
+from clementineline.coordination import lease
+from clementineline import errors
+from clementineline.state import platform
+from clementineline.state import settings
+
+
+class FakePlatform:
+    """One object with versions and conditional writes."""
+
+    def __init__(self):
+        self.current = None
+        self.version = 0
+        self.down = False
+
+    async def read(self, kind, name):
+        if self.down:
+            raise errors.PlatformUnavailable('down')
+        return self.current
+
+    async def write(self, kind, name, value, expected):
+        if self.down:
+            raise errors.AmbiguousWrite('down')
+        version = self.current.version if self.current else 0
+        if version != expected:
+            raise errors.WriteConflict(f'expected {expected}')
+        self.version += 1
+        self.current = platform.PlatformObject(kind, name, self.version, value)
+        return self.version
+
+
+@pytest.fixture
+def store():
+    return FakePlatform()
+
+
+@pytest.fixture
+def build_keeper(store, log):
+    def build(name, clock):
+        timing = settings.LeaseSettings(duration_s=4.0, renew_s=1.0)
+        return lease.LeaseKeeper(name, store, timing, clock, log)
+
+    return build
+
+
+class TestLeaseKeeper:
+    """A lease is taken only when its holder cannot believe in it."""
+
+    async def test_fence_is_the_version_of_the_acquisition(
+        self, build_keeper, clock
+    ):
+        keeper = build_keeper('a', clock)
+        await keeper.step()
+        fence = keeper.fence
+        for _ in range(3):
+            clock.time_s += 1.0
+            await keeper.step()
+        assert keeper.holds()
+        assert keeper.fence == fence == 1
+
+    async def test_renewed_lease_is_not_taken(self, build_keeper, clock):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        for _ in range(10):
+            clock.time_s += 1.0
+            await holder.step()
+            await other.step()
+        assert holder.holds()
+        assert not other.holds()
+
+    async def test_paused_holder_stops_before_another_starts(
+        self, build_keeper, clock
+    ):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await other.step()
+        while not other.holds():
+            clock.time_s += 0.5
+            assert not (holder.holds() and other.holds())
+            await other.step()
+        assert not holder.holds()
+        assert other.fence > 1
+        await holder.step()
+        assert not holder.holds()
+
+    async def test_other_clock_may_be_anything(
+        self, build_keeper, clock, store
+    ):
+        holder = build_keeper('a', clock)
+        await holder.step()
+        far = type(clock)()
+        far.time_s = -5e8
+        other = build_keeper('b', far)
+        await other.step()
+        far.time_s += 3.9
+        await other.step()
+        assert not other.holds()
+
+    async def test_outage_ends_the_holders_belief(
+        self, build_keeper, clock, store
+    ):
+        keeper = build_keeper('a', clock)
+        await keeper.step()
+        store.down = True
+        clock.time_s += 2.0
+        with pytest.raises(errors.PlatformUnavailable):
+            await keeper.step()
+        assert keeper.holds()
+        clock.time_s += 1.1
+        assert not keeper.holds()
+
+    async def test_released_lease_is_taken_at_once(self, build_keeper, clock):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await holder.release()
+        await other.step()
+        assert other.holds()
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_samples.py
@@ -0,0 +1,186 @@
+"""Tests of sample delivery: once, whole, honest and fresh."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from clementineline.coordination import samples
+from clementineline.coordination import steps
+from clementineline import errors
+from clementineline.protocol import messages
+from clementineline.protocol import verdicts
+from clementineline.state import configuration
+from clementineline.state import cursor as cursors
+
+
+class FakeRunner:
+    """Generates ``version`` stamped text at once, or waits when told to."""
+
+    def __init__(self):
+        self.version = 0
+        self.unvouched = 0
+        self.hold = None
+        self.started = []
+
+    async def generate(self, request):
+        self.started.append(request.id)
+        version = self.version
+        if self.unvouched:
+            self.unvouched -= 1
+            version = -1
+        yield messages.Chunk(request.id, 'half ', 1, version)
+        if self.hold is not None:
+            await self.hold.wait()
+        yield messages.Chunk(request.id, 'whole ', 1, version)
+        yield verdicts.Answered(finish_reason='stop')
+
+
+def encode(value):
+    return msgspec.Raw(msgspec.msgpack.encode(value))
+
+
+@pytest.fixture
+def current():
+    current = configuration.Configuration()
+    trainer = configuration.TrainerConfig(
+        model='m', staleness_bound_versions=1
+    )
+    current.adopt(
+        messages.ConfigurationDelta(
+            0, 1, [messages.Change('trainer/t', 1, encode(trainer))]
+        )
+    )
+    return current
+
+
+@pytest.fixture
+def runner():
+    return FakeRunner()
+
+
+@pytest.fixture
+def owner(runner, current, decision_log):
+    return samples.SampleOwner(runner, current, decision_log)
+
+
+STEP = steps.StepRequest(step='s', prompts=['a', 'b'], group_size=2)
+
+
+def build_pull(cursor, wait_s=5.0):
+    return samples.PullRequest(cursor=cursor.to_wire(), wait_s=wait_s)
+
+
+def announce(current, version):
+    target = configuration.WeightsTarget(version=version, announced_by='t')
+    following = current.version + 1
+    current.adopt(
+        messages.ConfigurationDelta(
+            current.version,
+            following,
+            [messages.Change('weights/m', following, encode(target))],
+        )
+    )
+
+
+async def pull_all(owner, cursor):
+    """Pull until the step is complete; return all sample indices."""
+    found = []
+    while True:
+        answer = await owner.pull('t', build_pull(cursor))
+        for group in answer.groups:
+            found += [sample.index for sample in group]
+        cursor = cursors.parse_cursor(answer.cursor, STEP.samples)
+        if answer.complete:
+            return found, cursor
+
+
+class TestSampleOwner:
+    """The cursor decides what was delivered."""
+
+    async def test_each_sample_is_delivered_once(self, owner):
+        owner.submit('t', STEP)
+        owner.submit('t', STEP)
+        found, _ = await pull_all(owner, cursors.Cursor('s', 0))
+        assert sorted(found) == [0, 1, 2, 3]
+
+    async def test_lost_answer_is_pulled_again(self, owner):
+        owner.submit('t', STEP)
+        start = cursors.Cursor('s', 0)
+        first = await owner.pull('t', build_pull(start))
+        again = await owner.pull('t', build_pull(start))
+        assert again.groups[0] == first.groups[0]
+
+    async def test_new_owner_makes_only_what_the_cursor_lacks(
+        self, owner, runner, current, decision_log
+    ):
+        cursor = cursors.Cursor('s', 0).add([0, 1])
+        other = samples.SampleOwner(runner, current, decision_log)
+        other.submit('t', STEP)
+        found, _ = await pull_all(other, cursor)
+        assert sorted(found) == [2, 3]
+        assert sorted(runner.started) == ['t/s/2', 't/s/3']
+
+    async def test_restored_trainer_gets_the_group_again(self, owner):
+        owner.submit('t', STEP)
+        start = cursors.Cursor('s', 0)
+        _, full = await pull_all(owner, start)
+        await owner.pull('t', build_pull(full, wait_s=0.0))
+        found, _ = await pull_all(owner, start)
+        assert sorted(found) == [0, 1, 2, 3]
+
+    async def test_unknown_step_must_be_submitted_again(self, owner):
+        with pytest.raises(errors.LostStep, match="step 's'"):
+            await owner.pull('t', build_pull(cursors.Cursor('s', 0)))
+
+    async def test_too_old_at_delivery_is_made_anew(self, owner, runner):
+        owner.submit('t', STEP)
+        await owner.pull('t', build_pull(cursors.Cursor('s', 0)))
+        runner.version = 2
+        answer = await owner.pull('t', build_pull(cursors.Cursor('s', 2)))
+        for group in answer.groups:
+            for sample in group:
+                assert sample.spans == [(2, 2)]
+        assert owner.discarded >= 2
+
+    async def test_too_old_in_flight_is_aborted_at_once(
+        self, owner, runner, current, wait_until
+    ):
+        runner.hold = asyncio.Event()
+        owner.submit('t', STEP)
+        pull = asyncio.create_task(
+            owner.pull('t', build_pull(cursors.Cursor('s', 2)))
+        )
+        await wait_until(lambda: len(runner.started) == 4)
+        announce(current, 2)
+        announce(current, 3)
+        runner.version = 3
+        await wait_until(lambda: len(runner.started) == 8)
+        assert owner.discarded == 4
+        runner.hold.set()
+        answer = await pull
+        assert answer.groups[0][0].spans == [(3, 2)]
+
+    async def test_unvouched_sample_is_never_delivered(self, owner, runner):
+        runner.unvouched = 3
+        owner.submit('t', STEP)
+        found, _ = await pull_all(owner, cursors.Cursor('s', 0))
+        assert sorted(found) == [0, 1, 2, 3]
+        assert owner.discarded == 3
+        assert len(runner.started) == 7
+
+    async def test_other_step_under_the_same_id_is_refused(self, owner):
+        owner.submit('t', STEP)
+        other = steps.StepRequest(step='s', prompts=['c'], group_size=2)
+        with pytest.raises(errors.RequestError, match='submitted before'):
+            owner.submit('t', other)
+
+    async def test_fresh_process_does_not_call_a_trainer_unknown(
+        self, runner, decision_log
+    ):
+        """Found by fault seed 10: a restarted entry answered 404."""
+        fresh = samples.SampleOwner(
+            runner, configuration.Configuration(), decision_log
+        )
+        with pytest.raises(errors.NotReady):
+            fresh.submit('t', STEP)
--- a/src/clementineline/daemons/answers.py
+++ b/src/clementineline/daemons/answers.py
@@ -117,6 +117,8 @@
             return build_error(409, str(error), 'plan_error', not_run)
         except errors.LostStep as error:
             return build_error(404, str(error), 'lost_step', not_run)
+        except errors.NotReady as error:
+            return build_refusal(verdicts.NotRun(str(error)))
         except errors.AmbiguousWrite as error:
             return build_refusal(verdicts.MayHaveRun(str(error)))
         except errors.PlatformError as error:
--- a/src/clementineline/daemons/callers.py
+++ b/src/clementineline/daemons/callers.py
@@ -114,6 +114,7 @@
     pool = entry.router.get_pool('engine', model)
     known = pool.endpoints or entry.configuration.get(f'model/{model}')
     if not known:
+        entry.configuration.check_ready()
         raise errors.RequestError(
             404, f'model {model!r}: unknown; see GET /v1/models'
         )
@@ -282,6 +283,7 @@
     pool = entry.router.get_pool('service', service)
     config = entry.configuration.get(f'service/{service}')
     if not pool.endpoints and config is None:
+        entry.configuration.check_ready()
         raise errors.RequestError(404, f'service {service!r}: unknown')
     config = config or configuration.ServiceConfig()
     deadline = _read_deadline(entry, request)
--- a/src/clementineline/daemons/entry.py
+++ b/src/clementineline/daemons/entry.py
@@ -242,6 +242,7 @@
         :raises errors.RequestError: if the trainer is not configured
         :raises errors.PlatformError: if the platform does not take it
         """
+        self.configuration.check_ready()
         config = self.configuration.get(f'trainer/{trainer}')
         if config is None:
             raise errors.RequestError(
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -9,6 +9,7 @@
     'IntentError',
     'LostStep',
     'MalformedFrame',
+    'NotReady',
     'PlanError',
     'PlatformError',
     'PlatformUnavailable',
@@ -85,6 +86,10 @@
     """The entry holds no such step; the trainer must submit it again."""
 
 
+class NotReady(ClementinelineError):
+    """The process has no configuration yet; nothing was run."""
+
+
 class RequestError(ClementinelineError):
     """A caller's request is malformed.
 
--- a/src/clementineline/experiments/faults.py
+++ b/src/clementineline/experiments/faults.py
@@ -18,6 +18,7 @@
 import time
 
 from clementineline import client
+from clementineline import errors
 from clementineline.experiments import checks
 from clementineline.experiments import deployments
 from clementineline.experiments import load
@@ -338,7 +339,12 @@
     run = FaultRun(seed, folder)
     try:
         asyncio.run(run.run())
-    except (RuntimeError, TimeoutError, OSError) as error:
+    except (
+        RuntimeError,
+        TimeoutError,
+        OSError,
+        errors.ClementinelineError,
+    ) as error:
         run.ledger.break_promise(f'the run failed: {error!r}')
     print(f'seed {seed}')
     print(run.format_report())
--- /dev/null
+++ b/src/clementineline/experiments/slopes.py
@@ -0,0 +1,477 @@
+"""Measured slopes: how cost grows with the size of the fleet.
+
+Each measurement runs in one process on loopback with real sessions, real
+frames and the product's own classes; only the endpoints are absent.
+"""
+
+import asyncio
+import dataclasses
+import gc
+import json
+import resource
+import time
+
+import msgspec
+import structlog
+
+from clementineline import clocks
+from clementineline.coordination import decisions
+from clementineline.coordination import endpoints
+from clementineline.coordination import fleet
+from clementineline.coordination import keys
+from clementineline.coordination import membership
+from clementineline.coordination import routing
+from clementineline.coordination import steps
+from clementineline.coordination import waiting
+from clementineline.experiments import processes
+from clementineline.protocol import codec
+from clementineline.protocol import links
+from clementineline.protocol import messages
+from clementineline.protocol import session as sessions
+from clementineline.state import configuration
+from clementineline.state import settings
+from clementineline.transport import frames
+
+__all__ = [
+    'Slope',
+    'fit_slope',
+    'measure_configuration_spread',
+    'measure_memory',
+    'measure_relay',
+    'measure_routing',
+    'measure_sessions',
+    'measure_subset',
+]
+
+SETTLE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slope:
+    """A straight line through measured points.
+
+    :param name: what grows, with its unit
+    :param per: what it grows with
+    :param base: value at size 0
+    :param slope: growth for each unit of size
+    :param fit: share of the variance that the line explains
+    :param points: measured ``(size, value)`` pairs
+    """
+
+    name: str
+    per: str
+    base: float
+    slope: float
+    fit: float
+    points: list
+
+
+def fit_slope(name, per, points):
+    """Fit a line by least squares.
+
+    :param points: ``(size, value)`` pairs
+    :returns: a :class:`Slope`
+    """
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    base = mean_y - slope * mean_x
+    total = sum((y - mean_y) ** 2 for _, y in points)
+    left = sum((y - base - slope * x) ** 2 for x, y in points)
+    fit = 1.0 - left / total if total else 1.0
+    return Slope(name, per, base, slope, fit, points)
+
+
+class _Sidecar(sessions.SessionEvents):
+    """The session side of a sidecar, without an endpoint."""
+
+    def __init__(self, name, address, zone, log, timing):
+        self.configuration = configuration.Configuration()
+        self.adopted_at = 0.0
+        self.configuration.listeners.append(self._note)
+        self.member = messages.Member(
+            name,
+            'sidecar',
+            1,
+            1,
+            zone,
+            str(address),
+            kind='engine',
+            serves='model',
+        )
+        self._address = address
+        self.listener = links.SessionListener(
+            lambda: self.member, self, timing, log
+        )
+
+    def _note(self, changed):
+        self.adopted_at = time.monotonic()
+
+    def get_configuration_version(self):
+        return self.configuration.version
+
+    def build_report(self):
+        return messages.Report(
+            8, {'live': 3, 'trainer': 4}, 1, 5, -1, False, 7, 'ready'
+        )
+
+    def on_message(self, session, body):
+        if isinstance(body, messages.ConfigurationDelta):
+            self.configuration.adopt(body)
+
+    async def start(self):
+        await self.listener.start(self._address)
+
+
+def build_fleet(name, log, timing):
+    """Build an entry's fleet object without its HTTP side."""
+    clock = clocks.Clock()
+    current = configuration.Configuration()
+    decision_log = decisions.DecisionLog(log, 64, lambda: current.version)
+    router = routing.Router(
+        settings.PolicySettings(), clock, decision_log, lambda _: 1.0
+    )
+    members = membership.MemberTable()
+    port = processes.find_free_ports(1)[0]
+    member = messages.Member(
+        name, 'entry', 1, 1, 'walvis-a', f'127.0.0.1:{port}'
+    )
+    built = fleet.Fleet(
+        lambda: member,
+        timing,
+        members,
+        current,
+        router,
+        keys.PendingAnswers(),
+        clock,
+        decision_log,
+        log,
+    )
+    members.merge(member)
+    return built, member
+
+
+def get_silent_log():
+    """Return a logger that writes nothing."""
+    return structlog.wrap_logger(
+        None, processors=[], wrapper_class=_SilentLogger
+    )
+
+
+class _SilentLogger:
+    def __init__(self, *_, **__):
+        pass
+
+    def _drop(self, *_, **__):
+        return None
+
+    info = debug = warning = error = _drop
+
+
+async def _start_sidecars(count, log, timing):
+    ports = processes.find_free_ports(count)
+    sidecars = []
+    for number, port in enumerate(ports):
+        address = frames.Address('127.0.0.1', port)
+        zone = f'zone-{number % 3}'
+        sidecar = _Sidecar(f's-{number:03d}', address, zone, log, timing)
+        await sidecar.start()
+        sidecars.append(sidecar)
+    return sidecars
+
+
+async def _connect(built, sidecars):
+    for sidecar in sidecars:
+        built.members.merge(sidecar.member)
+    async with asyncio.timeout(60):
+        while True:
+            connected = 0
+            for endpoint in built.endpoints.values():
+                connected += endpoint.connected
+            if connected == len(sidecars):
+                return
+            await asyncio.sleep(0.05)
+
+
+def _count_bytes(built):
+    total = 0
+    for endpoint in built.endpoints.values():
+        stream = endpoint.session.stream
+        total += stream.bytes_in + stream.bytes_out
+    return total
+
+
+async def measure_sessions(sizes, duration_s=6.0):
+    """Measure processor time and bytes of idle sessions.
+
+    Both ends run in this process, so an entry's cost is half of the
+    processor time.
+
+    :returns: list of :class:`Slope`
+    """
+    log = get_silent_log()
+    timing = links.LinkTiming()
+    cpu, sent = [], []
+    for size in sizes:
+        sidecars = await _start_sidecars(size, log, timing)
+        built, _ = build_fleet('entry', log, timing)
+        await _connect(built, sidecars)
+        await asyncio.sleep(SETTLE_S)
+        before = time.process_time(), _count_bytes(built)
+        await asyncio.sleep(duration_s)
+        used = time.process_time() - before[0]
+        moved = _count_bytes(built) - before[1]
+        cpu.append((size, used / duration_s / 2 * 100))
+        sent.append((size, moved / duration_s))
+        await built.stop()
+        for sidecar in sidecars:
+            await sidecar.listener.stop()
+    return [
+        fit_slope('entry control, % of a core', 'session', cpu),
+        fit_slope('entry control, bytes/s in and out', 'session', sent),
+    ]
+
+
+async def measure_configuration_spread(sizes):
+    """Measure how long one change takes to reach all sidecars.
+
+    No platform takes part: the change spreads from an entry alone.
+    """
+    log = get_silent_log()
+    timing = links.LinkTiming()
+    times, moved = [], []
+    for size in sizes:
+        sidecars = await _start_sidecars(size, log, timing)
+        built, _ = build_fleet('entry', log, timing)
+        await _connect(built, sidecars)
+        before = _count_bytes(built)
+        value = {'version': 1, 'announced_by': 't'}
+        packed = msgspec.Raw(msgspec.msgpack.encode(value))
+        delta = messages.ConfigurationDelta(
+            0, 1, [messages.Change('weights/model', 1, packed)]
+        )
+        started = time.monotonic()
+        built.configuration.adopt(delta)
+        async with asyncio.timeout(30):
+            while not all(item.adopted_at for item in sidecars):
+                await asyncio.sleep(0.001)
+        last = max(item.adopted_at for item in sidecars)
+        times.append((size, (last - started) * 1e3))
+        moved.append((size, _count_bytes(built) - before))
+        await built.stop()
+        for sidecar in sidecars:
+            await sidecar.listener.stop()
+    return [
+        fit_slope('configuration to all sidecars, ms', 'sidecar', times),
+        fit_slope('configuration change, bytes', 'sidecar', moved),
+    ]
+
+
+class _IdleSession:
+    """A session that is connected and sends nothing."""
+
+    connected = True
+
+    def send(self, body):
+        """Drop the message."""
+
+
+def _build_router(candidates):
+    log = get_silent_log()
+    clock = clocks.Clock()
+    decision_log = decisions.DecisionLog(log, 4096, lambda: 1)
+    router = routing.Router(
+        settings.PolicySettings(), clock, decision_log, lambda _: 1.0
+    )
+    report = messages.Report(
+        1_000_000, {'live': 3}, 1, 5, -1, False, 7, 'ready'
+    )
+    for number in range(candidates):
+        member = messages.Member(
+            f's-{number}', 'sidecar', 1, 1, 'z', 'a', kind='engine', serves='m'
+        )
+        endpoint = endpoints.Endpoint(member, clock)
+        endpoint.session = _IdleSession()
+        endpoint.note_report(report)
+        endpoint.pace.pace_s = 0.002 + number * 1e-6
+        router.add_endpoint(endpoint)
+    return router
+
+
+def _time_routing(router, waiting_count, rounds):
+    """Return processor time to route one request, in microseconds."""
+    loop = asyncio.get_running_loop()
+    pool = router.get_pool('engine', 'm')
+    for number in range(waiting_count):
+        pool.queue.add(
+            waiting.WaitingRequest(
+                f'w{number}',
+                'trainer',
+                1.0,
+                (1, number),
+                '',
+                1,
+                loop.create_future(),
+                min_version=99,
+            )
+        )
+    requests = [
+        waiting.WaitingRequest(
+            f'r{number}',
+            'live',
+            1.0,
+            (0, number),
+            f'{number % 50}',
+            1,
+            loop.create_future(),
+        )
+        for number in range(rounds)
+    ]
+    started = time.process_time()
+    for request in requests:
+        pool.queue.add(request)
+        router.pump(pool)
+    used = time.process_time() - started
+    for request in requests:
+        assert_placed(request)
+    return used / rounds * 1e6
+
+
+def assert_placed(request):
+    """Raise if a measured request was not placed.
+
+    :raises RuntimeError: if the measurement measured nothing
+    """
+    if not request.future.done():
+        raise RuntimeError(f'{request.id}: was not placed')
+
+
+async def measure_routing(candidates, waiting_counts, rounds=500):
+    """Measure the cost of routing one request.
+
+    :returns: list of :class:`Slope`, against candidates and waiting work
+    """
+    by_candidates = []
+    for count in candidates:
+        by_candidates.append(
+            (count, _time_routing(_build_router(count), 10, rounds))
+        )
+    by_waiting = []
+    for count in waiting_counts:
+        by_waiting.append(
+            (count, _time_routing(_build_router(40), count, rounds))
+        )
+    return [
+        fit_slope('routing one request, us', 'candidate', by_candidates),
+        fit_slope(
+            'routing one request of 40 candidates, us',
+            'waiting request',
+            by_waiting,
+        ),
+    ]
+
+
+def measure_relay(tokens_per_chunk, chunks=50_000):
+    """Measure encoding and decoding of relayed chunks.
+
+    :returns: list of :class:`Slope` over tokens
+    """
+    points = []
+    for tokens in tokens_per_chunk:
+        text = 'token ' * tokens
+        frame = messages.Data(
+            9, 9, 9, messages.Chunk('g-0123456789abcdef.1', text, tokens, 5)
+        )
+        started = time.process_time()
+        for _ in range(chunks):
+            codec.decode_frame(codec.encode_frame(frame))
+        used = time.process_time() - started
+        points.append((tokens, used / chunks * 1e6))
+    return [fit_slope('encode and decode a chunk, us', 'token', points)]
+
+
+def _read_rss_bytes():
+    gc.collect()
+    with open('/proc/self/statm') as statm:
+        pages = int(statm.read().split()[1])
+    return pages * resource.getpagesize()
+
+
+async def measure_memory(sizes):
+    """Measure memory for each waiting request and each sample of a step."""
+    loop = asyncio.get_running_loop()
+    waits, samples = [], []
+    for size in sizes:
+        before = _read_rss_bytes()
+        queue = waiting.WaitingQueue()
+        for number in range(size):
+            queue.add(
+                waiting.WaitingRequest(
+                    f'request-{number}',
+                    'live',
+                    1.0,
+                    (0, number),
+                    '',
+                    1,
+                    loop.create_future(),
+                )
+            )
+        waits.append((size, _read_rss_bytes() - before))
+        before = _read_rss_bytes()
+        held = []
+        for number in range(size):
+            sample = steps.Sample(number)
+            sample.text = 'x' * 1000 + str(number)
+            sample.spans = [(1, 250)]
+            held.append(sample)
+        samples.append((size, _read_rss_bytes() - before))
+        del queue, held
+    return [
+        fit_slope('memory, bytes', 'waiting request', waits),
+        fit_slope('memory, bytes', 'sample of 1,000 characters', samples),
+    ]
+
+
+def measure_subset(entries, sidecars):
+    """Measure what one entry's choice of its sidecars costs and yields.
+
+    :returns: dict with seconds, sessions of an entry and of a sidecar
+    """
+    members = []
+    for number in range(entries):
+        members.append(
+            messages.Member(
+                f'e-{number}', 'entry', 1, 1, f'zone-{number % 24}', 'a'
+            )
+        )
+    for number in range(sidecars):
+        members.append(
+            messages.Member(
+                f's-{number}',
+                'sidecar',
+                1,
+                1,
+                f'zone-{number % 24}',
+                'a',
+                kind='engine',
+                serves=f'model-{number % 7}',
+            )
+        )
+    started = time.process_time()
+    chosen = membership.choose_sidecars('e-0', members)
+    used = time.process_time() - started
+    groups = len({member.serves for member in chosen})
+    return {
+        'entries': entries,
+        'sidecars': sidecars,
+        'choice_s': round(used, 3),
+        'sessions_of_an_entry': len(chosen),
+        'models_reached': groups,
+    }
+
+
+def format_json(slopes):
+    """Return slopes as JSON."""
+    return json.dumps([dataclasses.asdict(item) for item in slopes], indent=1)
--- a/src/clementineline/protocol/links.py
+++ b/src/clementineline/protocol/links.py
@@ -42,8 +42,8 @@
     :param resume: whether a session survives its connection
     """
 
-    heartbeat_s: float = 0.5
-    silence_s: float = 2.0
+    heartbeat_s: float = 0.8
+    silence_s: float = 2.4
     retain_s: float = 20.0
     redial_min_s: float = 0.05
     redial_max_s: float = 2.0
--- a/src/clementineline/protocol/session.py
+++ b/src/clementineline/protocol/session.py
@@ -72,6 +72,7 @@
     __slots__ = (
         '_pending',
         '_pending_bytes',
+        '_reported',
         '_sent',
         '_stream',
         '_unacknowledged',
@@ -98,6 +99,7 @@
         self.resumptions = 0
         self._pending = collections.deque()
         self._pending_bytes = 0
+        self._reported = None
         self._sent = 0
         self._stream = None
         self._unacknowledged = 0
@@ -147,12 +149,18 @@
         if self._stream is None:
             return
         self._unacknowledged = 0
+        report = self.events.build_report()
+        if report == self._reported:
+            # The stream is in order, so the peer has this very report.
+            report = None
+        else:
+            self._reported = report
         self._stream.send(
             codec.encode_frame(
                 messages.Heartbeat(
                     self.received,
                     self.events.get_configuration_version(),
-                    self.events.build_report(),
+                    report,
                 )
             )
         )
@@ -167,6 +175,7 @@
         if self._stream is not None and self._stream is not stream:
             self._stream.abort()
         self._stream = stream
+        self._reported = None
         if resumed:
             self.resumptions += 1
         self._acknowledge(peer_received)
--- a/src/clementineline/state/configuration.py
+++ b/src/clementineline/state/configuration.py
@@ -182,6 +182,17 @@
         """Return the typed value of a key, or None."""
         return self._values.get(key)
 
+    def check_ready(self):
+        """Check that any configuration was adopted.
+
+        :raises errors.NotReady: if none was, so that nothing can be said to
+            be unknown
+        """
+        if not self.version:
+            raise errors.NotReady(
+                'this process has just started and has no configuration yet'
+            )
+
     def get_stamp(self, key):
         """Return the version that last changed a key; 0 for never."""
         change = self._changes.get(key)
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -71,8 +71,8 @@
 class LinkSettings(_Settings):
     """Times of the sessions between processes, in seconds."""
 
-    heartbeat_s: Positive = 0.5
-    silence_s: Positive = 2.0
+    heartbeat_s: Positive = 0.8
+    silence_s: Positive = 2.4
     retain_s: Positive = 20.0
     resume: bool = True
 
