Tell a peer without any configuration, and test the whole path

Cause: a late starter got nothing from its peers while the platform was out, since version 0 looked like no news (found by its test); the lease task ended after each step on a missing attribute, hidden by its restart.

--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -61,6 +61,7 @@
         self._settings = settings
         self._clock = clock
         self._log = log
+        self._is_candidate = is_candidate
         self._version = 0
         self._observed_at = 0.0
         self._valid_until = 0.0
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -118,3 +118,27 @@
         await holder.release()
         await other.step()
         assert other.holds()
+
+    async def test_other_entries_look_seldom(
+        self, build_keeper, clock, monkeypatch
+    ):
+        """A missing attribute once ended this task after each step."""
+        waits = []
+
+        class Ended(Exception):
+            pass
+
+        async def sleep(seconds):
+            waits.append(seconds)
+            clock.time_s += seconds
+            if len(waits) == 2:
+                raise Ended
+
+        monkeypatch.setattr(lease.asyncio, 'sleep', sleep)
+        monkeypatch.setattr(lease.links, 'jitter', lambda mean_s: mean_s)
+        await build_keeper('holder', clock).step()
+        keeper = build_keeper('a', clock)
+        keeper._is_candidate = lambda: False
+        with pytest.raises(Ended):
+            await keeper.run()
+        assert waits == [1.0 * lease.OTHERS_FACTOR, 1.0]
--- a/src/clementineline/protocol/session.py
+++ b/src/clementineline/protocol/session.py
@@ -21,6 +21,8 @@
 
 ACKNOWLEDGE_EVERY = 32
 MAX_PENDING_BYTES = 64 * 1024 * 1024
+# Below each version, so that a peer without any is told as well.
+UNKNOWN_CONFIGURATION = -1
 
 
 class SessionEvents:
@@ -92,7 +94,7 @@
         self.peer = peer
         self.events = events
         self.received = 0
-        self.peer_configuration = 0
+        self.peer_configuration = UNKNOWN_CONFIGURATION
         self.lost = False
         self.last_heard = 0.0
         self.duplicates = 0
