--- a/src/clementineline/experiments/slopes.py
+++ b/src/clementineline/experiments/slopes.py
@@ -35,12 +35,14 @@
 __all__ = [
     'Slope',
     'fit_slope',
+    'get_silent_log',
     'measure_configuration_spread',
     'measure_memory',
     'measure_relay',
     'measure_routing',
     'measure_sessions',
     'measure_subset',
+    'start_sidecars',
 ]
 
 SETTLE_S = 1.0
@@ -170,7 +172,8 @@
     info = debug = warning = error = _drop
 
 
-async def _start_sidecars(count, log, timing):
+async def start_sidecars(count, log, timing):
+    """Start the session sides of sidecars in this process."""
     ports = processes.find_free_ports(count)
     sidecars = []
     for number, port in enumerate(ports):
@@ -215,7 +218,7 @@
     timing = links.LinkTiming()
     cpu, sent = [], []
     for size in sizes:
-        sidecars = await _start_sidecars(size, log, timing)
+        sidecars = await start_sidecars(size, log, timing)
         built, _ = build_fleet('entry', log, timing)
         await _connect(built, sidecars)
         await asyncio.sleep(SETTLE_S)
@@ -243,7 +246,7 @@
     timing = links.LinkTiming()
     times, moved = [], []
     for size in sizes:
-        sidecars = await _start_sidecars(size, log, timing)
+        sidecars = await start_sidecars(size, log, timing)
         built, _ = build_fleet('entry', log, timing)
         await _connect(built, sidecars)
         before = _count_bytes(built)
