--- a/src/clementineline/coordination/prediction.py
+++ b/src/clementineline/coordination/prediction.py
@@ -36,12 +36,29 @@
             expected = min(expected, limit)
         return expected
 
+    def knows(self, prompt_key):
+        """Return whether anything is known of a prompt."""
+        return prompt_key in self._by_prompt
+
+    def raise_expectation(self, prompt_key, produced):
+        """Expect more of a prompt whose sample goes on and on.
+
+        :param produced: tokens of a sample that has not ended
+        """
+        expected = 2.0 * produced
+        known = self._by_prompt.get(prompt_key, 0.0)
+        self._by_prompt[prompt_key] = max(known, expected)
+        self._forget_oldest()
+
+    def _forget_oldest(self):
+        if len(self._by_prompt) > PROMPTS_KEPT:
+            self._by_prompt.popitem(last=False)
+
     def learn(self, prompt_key, share, tokens):
         """Take in the length of a finished generation."""
         known = self._by_prompt.pop(prompt_key, tokens)
         # Siblings of a long sample tend to be long: lean to the longer.
         self._by_prompt[prompt_key] = max(known, tokens) * 0.7 + tokens * 0.3
-        if len(self._by_prompt) > PROMPTS_KEPT:
-            self._by_prompt.popitem(last=False)
+        self._forget_oldest()
         average = self._by_share.get(share, tokens)
         self._by_share[share] = average + SMOOTHING * (tokens - average)
--- a/src/clementineline/coordination/requests.py
+++ b/src/clementineline/coordination/requests.py
@@ -28,7 +28,8 @@
 # endpoint.
 STALL_FACTOR = 4.0
 STALL_MIN_S = 0.05
-QUEUE_MIN_S = 0.25
+QUEUE_SHARE = 0.75
+QUEUE_MIN_S = 0.05
 RETRY_AFTER_S = 1.0
 ATTEMPTS_MAX = 8
 SLOW_RESUME_FACTOR = 3.0
@@ -49,6 +50,7 @@
     :param idempotent: whether a lost attempt may be repeated
     :param allowed: names of endpoints that may run it; empty for all
     :param rank: waits behind requests of its share with a smaller rank
+    :param scout: first sample of its prompt, which shows what to expect
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         'prefix_key',
         'prompt_key',
         'rank',
+        'scout',
         'share',
         'weight',
         'work',
@@ -78,6 +81,7 @@
         idempotent=True,
         allowed=(),
         rank=0,
+        scout=False,
     ):
         self.id = id
         self.work = work
@@ -90,6 +94,7 @@
         self.idempotent = idempotent
         self.allowed = allowed
         self.rank = rank
+        self.scout = scout
 
 
 class CallRequest:
@@ -180,11 +185,11 @@
         """
         if not self._policy.late_binding:
             return None
-        wait_s = pool.estimate_wait()
+        wait_s = pool.estimate_wait(self._clock.now())
         if not wait_s:
             return None
-        # Work that would wait longer than it takes only grows the queue.
-        limit_s = max(pool.service_s, QUEUE_MIN_S)
+        # Work that waits as long as it takes only grows the queue.
+        limit_s = max(QUEUE_SHARE * pool.service_s, QUEUE_MIN_S)
         if deadline is not None:
             left_s = deadline - self._clock.now() - pool.service_s
             limit_s = min(max(left_s, 0.0), self._wait_max_s)
@@ -226,6 +231,7 @@
                     if isinstance(event, messages.Chunk):
                         text += event.text
                         produced += event.tokens
+                        self._note_progress(pool, request, produced)
                         yield event
                         continue
                     verdict = event
@@ -240,6 +246,21 @@
             avoid = (attempt.endpoint.name,)
         yield self._settle_interrupted(verdict, produced)
 
+    def _note_progress(self, pool, request, produced):
+        """Bring the siblings of a long sample forward."""
+        if request.share == waiting.LIVE or not self._policy.predict_length:
+            return
+        predictor = self._predictor(request.work.model)
+        expected = predictor.predict(
+            request.prompt_key, request.share, request.limit
+        )
+        if produced <= 1.5 * expected or produced >= request.limit:
+            return
+        predictor.raise_expectation(request.prompt_key, produced)
+        pool.queue.reorder(
+            request.prompt_key, (request.rank, 1, -2.0 * produced)
+        )
+
     def _settle_interrupted(self, verdict, produced):
         if produced and isinstance(verdict, verdicts.NotRun):
             return verdicts.MayHaveRun(
@@ -282,6 +303,7 @@
             allowed=getattr(request, 'allowed', ()),
             avoid=avoid,
             min_version=getattr(request.work, 'min_version', 0),
+            prompt_key=self._get_sample_prompt(request),
         )
         timeout_s = None
         if request.deadline is not None:
@@ -299,22 +321,29 @@
             self._router.withdraw(pool, item)
             raise
 
+    def _get_sample_prompt(self, request):
+        if request.share == waiting.LIVE:
+            return ''
+        return getattr(request, 'prompt_key', '')
+
     def _order(self, pool, request, produced, now):
         """Return the position in the queue: smaller goes first."""
         if not isinstance(request, GenerateRequest):
-            return (0, now)
+            return (0, 0, now)
         predictor = self._predictor(request.work.model)
         expected = predictor.predict(
             request.prompt_key, request.share, request.limit
         )
         left = max(expected - produced, 1.0)
         if not self._policy.predict_length:
-            return (request.rank, now)
+            return (request.rank, 0, now)
         if request.share != waiting.LIVE:
+            if request.scout and not predictor.knows(request.prompt_key):
+                return (request.rank, 0, 0.0)
             # Long samples first, so that none is left alone at the end.
-            return (request.rank, -left)
+            return (request.rank, 1, -left)
         # Shortest first; a request ages by moving up with its arrival.
-        return (0, now + left * 0.01)
+        return (0, 0, now + left * 0.01)
 
     def _send(self, placement, request, number, text, pool):
         work = request.work
@@ -400,7 +429,8 @@
         predictor = self._predictor(request.work.model)
         predictor.learn(request.prompt_key, request.share, produced)
         if request.share == waiting.LIVE:
-            pool.note_duration(self._clock.now() - attempt.started_at)
+            now = self._clock.now()
+            pool.note_duration(now - attempt.started_at, now)
 
     async def call(self, request):
         """Run a plain service call.
@@ -423,7 +453,8 @@
             attempt = self._send(placement, request, number, '', pool)
             verdict, attempt = await self._finish_call(pool, attempt, request)
             if isinstance(verdict, verdicts.Answered):
-                pool.note_duration(self._clock.now() - attempt.started_at)
+                now = self._clock.now()
+                pool.note_duration(now - attempt.started_at, now)
                 if verdict.status not in RETRIED_STATUSES:
                     return verdict
                 if not request.work.idempotent or not self.retries.spend():
--- a/src/clementineline/coordination/routing.py
+++ b/src/clementineline/coordination/routing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -21,6 +22,7 @@
 TYPICAL_CHUNK_TOKENS = 8
 PREEMPTIONS_UNDER_WAY_MAX = 4
 PUMP_INTERVAL_S = 0.25
+RATE_WINDOW_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,7 @@
     """
 
     __slots__ = (
+        '_ends',
         '_preempting',
         '_turn',
         'affinity',
@@ -64,11 +67,13 @@
         self.affinity = affinity.PrefixAffinity(policy.affinity_load_factor)
         self.service_s = 0.0
         self.weights = {}
+        self._ends = collections.deque()
         self._preempting = {}
         self._turn = itertools.count()
 
-    def note_duration(self, duration_s):
+    def note_duration(self, duration_s, now):
         """Take in how long a live request took on its endpoint."""
+        self._ends.append(now)
         if not self.service_s:
             self.service_s = duration_s
         self.service_s += 0.1 * (duration_s - self.service_s)
@@ -81,7 +86,7 @@
                 used[share] = used.get(share, 0) + endpoint.count_share(share)
         return used
 
-    def estimate_wait(self):
+    def estimate_wait(self, now):
         """Return the expected wait of a new live request, in seconds."""
         slots = 0
         free = 0
@@ -96,11 +101,21 @@
         ahead = self.queue.count(waiting.LIVE)
         if self.policy.preempt:
             free += displaceable
-        if free > ahead:
+        if free > ahead or not slots:
             return 0.0
-        if not slots:
+        # Other entries use the slots too: go by what ended for this one.
+        rate = self._find_end_rate(now)
+        if self.service_s:
+            rate = min(rate, slots / self.service_s)
+        if not rate:
             return 0.0
-        return (ahead - free + 1) * self.service_s / slots
+        return (ahead - free + 1) / rate
+
+    def _find_end_rate(self, now):
+        """Return how many live requests end a second, here, of late."""
+        while self._ends and now - self._ends[0] > RATE_WINDOW_S:
+            self._ends.popleft()
+        return len(self._ends) / RATE_WINDOW_S
 
     def choose_endpoint(self, request, now):
         """Choose a free endpoint for a request.
--- a/src/clementineline/coordination/waiting.py
+++ b/src/clementineline/coordination/waiting.py
@@ -23,6 +23,7 @@
     :param allowed: names of endpoints that may run it; empty for all
     :param min_version: oldest weight version allowed to run it
     :param future: set to the chosen endpoint's placement
+    :param prompt_key: digest of the prompt, of a sample; else ''
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         'min_version',
         'order',
         'prefix_key',
+        'prompt_key',
         'share',
         'since',
         'units',
@@ -52,6 +54,7 @@
         allowed=(),
         avoid=(),
         min_version=0,
+        prompt_key='',
     ):
         self.id = id
         self.share = share
@@ -64,14 +67,16 @@
         self.allowed = allowed
         self.avoid = avoid
         self.min_version = min_version
+        self.prompt_key = prompt_key
 
 
 class WaitingQueue:
     """Waiting requests of one pool, a heap for each share."""
 
-    __slots__ = ('_counter', '_heaps', '_sizes')
+    __slots__ = ('_by_prompt', '_counter', '_heaps', '_sizes')
 
     def __init__(self):
+        self._by_prompt = {}
         self._counter = itertools.count()
         self._heaps = {}
         self._sizes = {}
@@ -88,10 +93,29 @@
         heap = self._heaps.setdefault(request.share, [])
         heapq.heappush(heap, (request.order, next(self._counter), request))
         self._sizes[request.share] = self._sizes.get(request.share, 0) + 1
+        if request.prompt_key:
+            waiting = self._by_prompt.setdefault(request.prompt_key, set())
+            waiting.add(request)
+
+    def reorder(self, prompt_key, order):
+        """Move the waiting samples of a prompt to another position.
+
+        The old places stay in the heap and are passed over later.
+        """
+        for request in self._by_prompt.get(prompt_key, ()):
+            if order < request.order:
+                request.order = order
+                heap = self._heaps[request.share]
+                heapq.heappush(heap, (order, next(self._counter), request))
 
     def discard(self, request):
         """Note that a request no longer waits."""
         self._sizes[request.share] -= 1
+        if request.prompt_key:
+            waiting = self._by_prompt[request.prompt_key]
+            waiting.discard(request)
+            if not waiting:
+                del self._by_prompt[request.prompt_key]
 
     def get_shares(self):
         """Return the shares that have waiting requests."""
--- a/src/clementineline/experiments/scenarios.py
+++ b/src/clementineline/experiments/scenarios.py
@@ -253,13 +253,47 @@
     ]
 
 
+async def _measure_capacity(deployment, tokens, duration_s=4.0):
+    """Return the generations a second that the engines can end.
+
+    Each slot of each engine is kept busy directly, without the system.
+    """
+    loop = asyncio.get_running_loop()
+    ends = []
+    started = loop.time()
+
+    async def keep_busy(url, number):
+        while loop.time() - started < duration_s:
+            body = {
+                'prompt': f'capacity {number} {len(ends)} len={tokens}',
+                'model': MODEL,
+            }
+            async with deployment.http.post(
+                url + '/v1/completions', json=body
+            ) as response:
+                await response.read()
+            ends.append(loop.time())
+
+    tasks = []
+    for name, plan in deployment.plans.items():
+        if plan.kind != 'engine':
+            continue
+        url = deployment.get_url(f'{name}-endpoint')
+        for number in range(plan.slots):
+            tasks.append(keep_busy(url, number))
+    await asyncio.gather(*tasks)
+    # The first second fills the batches.
+    inside = [at for at in ends if 1.0 <= at - started < duration_s]
+    return len(inside) / (duration_s - 1.0)
+
+
 async def run_overload(seed):
     """Measure goodput, tail and refusals at twice the capacity."""
     tokens = int(0.2 * TOKENS_PER_S)
-    capacity = ENGINES * SLOTS / 0.2
     overload_s, after_s = 15.0, 8.0
-    even = build_generations(seed, 'even', 0.4 * capacity, 6, tokens)
     async with start_fleet() as deployment:
+        capacity = await _measure_capacity(deployment, tokens)
+        even = build_generations(seed, 'even', 0.4 * capacity, 6, tokens)
         urls = deployment.get_entry_urls()
         calm = await openloop.send_open_loop(urls, even)
         requests = build_generations(
@@ -282,6 +316,7 @@
         if latency_s > 2 * calm_p99
     ]
     return [
+        Figure('overload_capacity_per_s', capacity),
         Figure('overload_goodput_share', goodput / capacity, 0.95, True),
         Figure('overload_calm_p99_s', calm_p99),
         Figure(
