Take slots back in one go and predict by the share's median

Change: a trainer takes back within 50 ms, then waits 1 s for fresh reports; the share's expectation is the median of its last 64 lengths.

--- a/src/clementineline/coordination/prediction.py
+++ b/src/clementineline/coordination/prediction.py
@@ -1,11 +1,12 @@
 """Prediction of generation lengths from prompts and finished siblings."""
 
 import collections
+import statistics
 
 __all__ = ['LengthPredictor']
 
 PROMPTS_KEPT = 4096
-SMOOTHING = 0.2
+RECENT_KEPT = 64
 DEFAULT_TOKENS = 128.0
 
 
@@ -13,14 +14,16 @@
     """Predicts the length of generations of one model, in tokens.
 
     The best source wins: finished samples of the same prompt, then the
-    average of the share (live callers or one trainer), then the limit.
+    median of the share (live callers or one trainer) of late, which a few
+    long ones do not move, then the limit.
     """
 
-    __slots__ = ('_by_prompt', '_by_share')
+    __slots__ = ('_by_prompt', '_by_share', '_recent')
 
     def __init__(self):
         self._by_prompt = collections.OrderedDict()
         self._by_share = {}
+        self._recent = {}
 
     def predict(self, prompt_key, share, limit):
         """Return the expected number of tokens.
@@ -60,5 +63,9 @@
         # Siblings of a long sample tend to be long: lean to the longer.
         self._by_prompt[prompt_key] = max(known, tokens) * 0.7 + tokens * 0.3
         self._forget_oldest()
-        average = self._by_share.get(share, tokens)
-        self._by_share[share] = average + SMOOTHING * (tokens - average)
+        recent = self._recent.get(share)
+        if recent is None:
+            recent = collections.deque(maxlen=RECENT_KEPT)
+            self._recent[share] = recent
+        recent.append(tokens)
+        self._by_share[share] = statistics.median_low(recent)
--- a/src/clementineline/coordination/routing.py
+++ b/src/clementineline/coordination/routing.py
@@ -22,6 +22,10 @@
 TYPICAL_CHUNK_TOKENS = 8
 PREEMPTIONS_UNDER_WAY_MAX = 4
 PUMP_INTERVAL_S = 0.25
+# A trainer takes its slots back in one go, then waits for fresh reports: two
+# entries that go by old ones would preempt each other's samples in turn.
+TAKE_BACK_S = 0.05
+TAKE_BACK_EVERY_S = 1.0
 RATE_WINDOW_S = 1.0
 
 
@@ -47,6 +51,7 @@
     __slots__ = (
         '_ends',
         '_preempting',
+        '_taking_back',
         '_turn',
         'affinity',
         'endpoints',
@@ -69,6 +74,7 @@
         self.weights = {}
         self._ends = collections.deque()
         self._preempting = {}
+        self._taking_back = {}
         self._turn = itertools.count()
 
     def note_duration(self, duration_s, now):
@@ -230,7 +236,9 @@
             victims = [share for share in used if share != waiting.LIVE]
         else:
             victim = shares.choose_victim_share(request, used, self.weights)
-            victims = [victim] if victim else []
+            if victim is None or not self._may_take_back(request.share, now):
+                return None
+            victims = [victim]
         best = None
         most = 0
         for endpoint in self.endpoints.values():
@@ -248,6 +256,16 @@
             self._preempting[best.endpoint.name].append(now)
         return best
 
+    def _may_take_back(self, share, now):
+        """Return whether a trainer may preempt another one now."""
+        since = now - self._taking_back.get(share, -TAKE_BACK_EVERY_S)
+        if since < TAKE_BACK_S:
+            return True
+        if since < TAKE_BACK_EVERY_S:
+            return False
+        self._taking_back[share] = now
+        return True
+
     def _count_preempting(self, endpoint, now):
         times = self._preempting.setdefault(endpoint.name, [])
         while times and now - times[0] > PUMP_INTERVAL_S:
--- a/src/clementineline/coordination/tests/test_routing.py
+++ b/src/clementineline/coordination/tests/test_routing.py
@@ -273,3 +273,21 @@
         request = build_request('r', 'a', 3.0)
         weights = {'a': 3.0, 'b': 1.0}
         assert shares.choose_victim_share(request, used, weights) == expected
+
+    async def test_two_takings_back_are_apart(
+        self, build_endpoint, build_router, clock
+    ):
+        """Shuts a thrash of two entries that went by old reports."""
+        weights = {'a': 1.0, 'b': 1.0}
+        endpoint = build_endpoint('e', capacity=8, running={'b': 8})
+        router = build_router(endpoint, weights=weights)
+        first = [build_request(f'a{n}', 'a') for n in range(2)]
+        pool = place(router, 'engine', *first)
+        assert [item.future.done() for item in first] == [True, True]
+        clock.time_s += 0.5
+        late = build_request('late', 'a')
+        place(router, 'engine', late)
+        assert not late.future.done()
+        clock.time_s += 1.0
+        router.pump(pool)
+        assert late.future.result().preempts == 'b'
--- a/src/clementineline/coordination/waiting.py
+++ b/src/clementineline/coordination/waiting.py
@@ -94,8 +94,9 @@
         heapq.heappush(heap, (request.order, next(self._counter), request))
         self._sizes[request.share] = self._sizes.get(request.share, 0) + 1
         if request.prompt_key:
-            waiting = self._by_prompt.setdefault(request.prompt_key, set())
-            waiting.add(request)
+            # A dict keeps the order in which they came; its values are unused.
+            siblings = self._by_prompt.setdefault(request.prompt_key, {})
+            siblings[request] = None
 
     def reorder(self, prompt_key, order):
         """Move the waiting samples of a prompt to another position.
@@ -112,9 +113,9 @@
         """Note that a request no longer waits."""
         self._sizes[request.share] -= 1
         if request.prompt_key:
-            waiting = self._by_prompt[request.prompt_key]
-            waiting.discard(request)
-            if not waiting:
+            siblings = self._by_prompt[request.prompt_key]
+            siblings.pop(request, None)
+            if not siblings:
                 del self._by_prompt[request.prompt_key]
 
     def get_shares(self):
