--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -8,12 +8,12 @@
 import asyncio
 import time
 
-from clementineline.experiments import processes
 from clementineline.experiments import relay as relays
 from clementineline.experiments import slopes
 from clementineline.protocol import links
 from clementineline.protocol import messages
 from clementineline.protocol import session as sessions
+from clementineline.standins import ports
 from clementineline.transport import frames
 
 __all__ = ['main']
@@ -72,7 +72,7 @@
     log = slopes.get_silent_log()
     timing = links.LinkTiming(resume=resume)
     server, client = Server(), Client()
-    port = processes.find_free_ports(1)[0]
+    port = ports.find_free_ports(1)[0]
     address = frames.Address('127.0.0.1', port)
     member = messages.Member('s', 'sidecar', 1, 1, 'z', str(address))
     own = messages.Member('e', 'entry', 1, 1, 'z', 'none')
--- a/src/clementineline/daemons/tests/conftest.py
+++ b/src/clementineline/daemons/tests/conftest.py
@@ -10,9 +10,9 @@
 
 from clementineline.daemons import entry
 from clementineline.daemons import sidecar
-from clementineline.experiments import processes
 from clementineline.standins import engine
 from clementineline.standins import platform
+from clementineline.standins import ports
 from clementineline.standins import server
 from clementineline.standins import service
 from clementineline.state import settings
@@ -38,7 +38,7 @@
 
     def get_port(self, name):
         if name not in self.ports:
-            self.ports[name] = processes.find_free_ports(1)[0]
+            self.ports[name] = ports.find_free_ports(1)[0]
         return self.ports[name]
 
     def get_url(self, name):
--- a/src/clementineline/daemons/tests/test_path.py
+++ b/src/clementineline/daemons/tests/test_path.py
@@ -7,7 +7,7 @@
 import pytest
 
 from clementineline import client
-from clementineline.experiments import load
+from clementineline.standins import engine
 
 TRAINER = {'trainers': {'t': {'model': 'm', 'staleness_bound_versions': 1}}}
 
@@ -30,7 +30,7 @@
             else:
                 text = answer.choices[0].text
             models = [item.id async for item in api.models.list()]
-        assert text == load.build_text(prompt, 20)
+        assert text == engine.build_text(prompt, 20)
         assert models == ['m']
 
     async def test_openai_chat_streams(self, fleet):
@@ -238,7 +238,7 @@
         sidecar._set_leaving(True, 'test')
         answer, _ = await call
         text = answer['choices'][0]['text']
-        assert text == load.build_text('x len=120', 120)
+        assert text == engine.build_text('x len=120', 120)
         _, headers = await fleet.post(
             '/v1/completions',
             {'model': 'm', 'prompt': 'y'},
--- a/src/clementineline/experiments/checks.py
+++ b/src/clementineline/experiments/checks.py
@@ -2,7 +2,6 @@
 
 import collections
 
-from clementineline.experiments import load
 from clementineline.standins import engine
 
 __all__ = [
@@ -49,7 +48,7 @@
             self._check_age(key, sample, version)
             prompt = prompts[group.prompt_index]
             tokens = sum(count for _, count in sample.spans)
-            if sample.text != load.build_text(prompt, tokens):
+            if sample.text != engine.build_text(prompt, tokens):
                 self.break_promise(f'sample {key}: text is not its own')
             expected = engine.find_length(prompt, sample.index, 256)
             if tokens != expected:
--- a/src/clementineline/experiments/deployments.py
+++ b/src/clementineline/experiments/deployments.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from clementineline.experiments import processes
+from clementineline.standins import ports
 
 __all__ = ['Deployment', 'EndpointPlan', 'build_small_fleet']
 
@@ -80,8 +81,8 @@
             names += [name, f'{name}-http']
         for name in self.plans:
             names += [name, f'{name}-http', f'{name}-endpoint']
-        ports = processes.find_free_ports(len(names))
-        return dict(zip(names, ports, strict=True))
+        numbers = ports.find_free_ports(len(names))
+        return dict(zip(names, numbers, strict=True))
 
     def get_url(self, name):
         """Return the HTTP root of a process by its port's name."""
--- a/src/clementineline/experiments/load.py
+++ b/src/clementineline/experiments/load.py
@@ -40,11 +40,6 @@
     return ''.join(parts), ended
 
 
-def build_text(prompt, length):
-    """Return the whole answer that a prompt must get."""
-    return ''.join(engine.build_token(prompt, n) for n in range(length))
-
-
 async def _send_generation(http, url, ledger, model, number):
     prompt = f'live {model} {uuid.uuid4().hex} len={16 + number % 48}'
     body = {'model': model, 'prompt': prompt, 'stream': number % 2 == 0}
@@ -68,7 +63,9 @@
     if not ended:
         ledger.note_live('interrupted, said so')
         return
-    ledger.note_answer(request_id, text, build_text(prompt, 16 + number % 48))
+    ledger.note_answer(
+        request_id, text, engine.build_text(prompt, 16 + number % 48)
+    )
     ledger.note_live('answered', duration)
 
 
--- a/src/clementineline/experiments/processes.py
+++ b/src/clementineline/experiments/processes.py
@@ -4,38 +4,15 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 
-__all__ = ['ProcessGroup', 'find_free_ports', 'read_rss_mb', 'wait_for_port']
+__all__ = ['ProcessGroup', 'read_cpu_s', 'read_rss_mb', 'wait_for_port']
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
-FIRST_PORT = 15_000
-LAST_PORT = 32_000
-
-
-def find_free_ports(count):
-    """Return free TCP ports of the loopback address.
-
-    They lie below the range that outgoing connections use, so that none of
-    these takes one before its process listens.
-    """
-    draw = random.SystemRandom()
-    ports = set()
-    while len(ports) < count:
-        port = draw.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        ports.add(port)
-    return list(ports)
 
 
 async def wait_for_port(port, timeout_s=START_TIMEOUT_S):
--- a/src/clementineline/experiments/slopes.py
+++ b/src/clementineline/experiments/slopes.py
@@ -23,11 +23,11 @@
 from clementineline.coordination import routing
 from clementineline.coordination import steps
 from clementineline.coordination import waiting
-from clementineline.experiments import processes
 from clementineline.protocol import codec
 from clementineline.protocol import links
 from clementineline.protocol import messages
 from clementineline.protocol import session as sessions
+from clementineline.standins import ports
 from clementineline.state import configuration
 from clementineline.state import settings
 from clementineline.transport import frames
@@ -136,7 +136,7 @@
         settings.PolicySettings(), clock, decision_log, lambda _: 1.0
     )
     members = membership.MemberTable()
-    port = processes.find_free_ports(1)[0]
+    port = ports.find_free_ports(1)[0]
     member = messages.Member(
         name, 'entry', 1, 1, 'walvis-a', f'127.0.0.1:{port}'
     )
@@ -174,9 +174,9 @@
 
 async def start_sidecars(count, log, timing):
     """Start the session sides of sidecars in this process."""
-    ports = processes.find_free_ports(count)
+    numbers = ports.find_free_ports(count)
     sidecars = []
-    for number, port in enumerate(ports):
+    for number, port in enumerate(numbers):
         address = frames.Address('127.0.0.1', port)
         zone = f'zone-{number % 3}'
         sidecar = _Sidecar(f's-{number:03d}', address, zone, log, timing)
--- a/src/clementineline/standins/engine.py
+++ b/src/clementineline/standins/engine.py
@@ -19,7 +19,7 @@
 
 from clementineline.standins import server
 
-__all__ = ['EngineStandIn', 'build_token', 'find_length']
+__all__ = ['EngineStandIn', 'build_text', 'build_token', 'find_length']
 
 BLOCK_CHARACTERS = 64
 DEFAULT_TOKENS = 32
@@ -36,6 +36,14 @@
     return f'{zlib.crc32(prompt.encode()):08x}.{index} '
 
 
+def build_text(prompt, length):
+    """Return the whole answer to a prompt.
+
+    :param length: number of tokens
+    """
+    return ''.join(build_token(prompt, index) for index in range(length))
+
+
 def find_length(prompt, seed, limit):
     """Return how many tokens a prompt and seed lead to.
 
