--- a/src/clementineline/commands/main.py
+++ b/src/clementineline/commands/main.py
@@ -73,7 +73,7 @@
 def run():
     """Run the command and exit with its code."""
     try:
-        app()
+        app(sys.argv[1:])
     except errors.SettingsError as error:
         print(f'clementineline: {error}', file=sys.stderr)
         sys.exit(2)
--- a/src/clementineline/commands/operator.py
+++ b/src/clementineline/commands/operator.py
@@ -129,11 +129,14 @@
     print(f'waiting: {status["waiting"]}')
     print('endpoints:')
     for item in status['endpoints']:
+        weights = ''
+        if item['active_version'] >= 0:
+            weights = f'weights {item["active_version"]}, '
         print(
             f'  {item["name"]:<20} {item["availability_zone"]:<14} '
             f'{item["serves"]:<14} {item["state"]:<12} '
             f'{item["used"]}/{item["slots"]} slots, '
-            f'weights {item["active_version"]}, '
+            f'{weights}'
             f'configuration {item["configuration"]}'
         )
     for step, whole in sorted(status['steps'].items()):
