--- a/src/clementineline/daemons/tests/test_path.py
+++ b/src/clementineline/daemons/tests/test_path.py
@@ -247,6 +247,31 @@
         )
         assert headers['Clementineline-Verdict'] == 'not-run'
 
+    async def test_planned_stop_of_an_entry_cuts_nothing_off(
+        self, fleet, wait_until
+    ):
+        second = await fleet.start_entry('entry-2')
+        sidecar = fleet.daemons[1]
+        await wait_until(
+            lambda: (
+                any(e.usable for e in second.fleet.endpoints.values())
+                and second.router.get_pool('engine', 'm').endpoints
+            )
+        )
+        call = asyncio.create_task(
+            fleet.post(
+                '/v1/completions',
+                {'model': 'm', 'prompt': 'x len=400'},
+                entry='entry-2',
+            )
+        )
+        await wait_until(lambda: len(sidecar.work))
+        fleet.daemons.remove(second)
+        await second.stop()
+        answer, _ = await call
+        text = answer['choices'][0]['text']
+        assert text == engine.build_text('x len=400', 400)
+
     async def test_explain_shows_the_decisions(self, fleet):
         _, headers = await fleet.post(
             '/v1/completions', {'model': 'm', 'prompt': 'x len=4'}
