Fill the engines with trainer batches in the head-of-line scenario

Cause: the scenario had drafts alone, which just filled all slots. Change: a trainer's step fills the slots before the drafts come.

--- a/src/clementineline/experiments/scenarios.py
+++ b/src/clementineline/experiments/scenarios.py
@@ -171,7 +171,11 @@
 
 
 async def run_head_of_line(seed):
-    """Measure short generations among drafts of 10 s on full engines."""
+    """Measure short generations among drafts of 10 s and trainer batches.
+
+    The trainer's samples fill all slots before the drafts come.
+    """
+    trainer = {'trainers': {'batch': {'model': MODEL}}}
     short = int(0.02 * TOKENS_PER_S)
     draft = int(10 * TOKENS_PER_S)
     found = {}
@@ -182,9 +186,13 @@
             requests = build_generations(
                 seed, 'short', 20, 12, short, start_s=4.0
             )
-            # As much work as all slots can do, so that the engines fill up.
-            requests += build_generations(seed, 'draft', 12, 4, draft)
+            requests += build_generations(
+                seed, 'draft', 8, 4, draft, start_s=1.0
+            )
         async with start_fleet(policy) as deployment:
+            if name != 'idle':
+                await deployment.put_in_force(trainer)
+                await _submit_long_step(deployment, 'batch', f'step-{seed}')
             outcomes = await openloop.send_open_loop(
                 deployment.get_entry_urls(), requests
             )
