--- a/src/clementineline/coordination/leadership.py
+++ b/src/clementineline/coordination/leadership.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from clementineline.coordination import watching
 from clementineline import errors
 from clementineline.protocol import links
 
@@ -89,7 +90,7 @@
                     member, gone=True, revision=member.revision + 1
                 )
             )
-            await self._platform.delete('member', member.name)
+            await self._platform.delete(watching.MEMBER_KIND, member.name)
 
     async def _renew_roster(self, vms):
         configuration = self._fleet.configuration
--- a/src/clementineline/coordination/watching.py
+++ b/src/clementineline/coordination/watching.py
@@ -15,13 +15,14 @@
 from clementineline.protocol import links
 from clementineline.protocol import messages
 
-__all__ = ['PlatformWatch']
+__all__ = ['MEMBER_KIND', 'PlatformWatch', 'register_member']
 
 WATCHERS = 3
 RETRY_S = 1.0
 RETRY_MAX_S = 8.0
 OTHERS_INTERVAL_S = 60.0
 MEMBER_KIND = 'member'
+REGISTER_RETRY_S = 5.0
 
 
 class PlatformWatch:
@@ -105,3 +106,23 @@
             )
             return
         self._members.merge(member)
+
+
+async def register_member(platform, build_member, log):
+    """Write this process's member object, until the platform has taken it.
+
+    :param platform: a :class:`~platform.PlatformClient`
+    :param build_member: function that returns this process's Member
+    :param log: logger
+    """
+    while True:
+        member = build_member()
+        value = {'member': msgspec.to_builtins(member)}
+        try:
+            current = await platform.read(MEMBER_KIND, member.name)
+            expected = current.version if current else 0
+            await platform.write(MEMBER_KIND, member.name, value, expected)
+            return
+        except errors.PlatformError as error:
+            log.info('not registered yet', reason=str(error))
+        await asyncio.sleep(links.jitter(REGISTER_RETRY_S))
--- a/src/clementineline/daemons/entry.py
+++ b/src/clementineline/daemons/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 from starlette import applications
 
 from clementineline import clocks
@@ -39,7 +38,6 @@
 
 ANNOUNCE_INTERVAL_S = 1.0
 LEAVING_NOTICE_S = 1.0
-REGISTER_RETRY_S = 5.0
 
 
 class Entry:
@@ -275,20 +273,9 @@
             await asyncio.sleep(links.jitter(ANNOUNCE_INTERVAL_S))
 
     async def _register(self):
-        """Write this member into the platform, until it has taken it."""
-        name = self.settings.name
-        while True:
-            try:
-                current = await self.platform.read('member', name)
-                member = msgspec.to_builtins(self.build_member())
-                expected = current.version if current else 0
-                await self.platform.write(
-                    'member', name, {'member': member}, expected
-                )
-                return
-            except errors.PlatformError as error:
-                self.log.info('not registered yet', reason=str(error))
-            await asyncio.sleep(links.jitter(REGISTER_RETRY_S))
+        await watching.register_member(
+            self.platform, self.build_member, self.log
+        )
 
     async def stop(self):
         """Shut down gracefully: hand on the lease, finish what runs."""
--- a/src/clementineline/daemons/sidecar.py
+++ b/src/clementineline/daemons/sidecar.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 from starlette import applications
 
 from clementineline import clocks
@@ -10,6 +9,7 @@
 from clementineline.coordination import decisions
 from clementineline.coordination import lease
 from clementineline.coordination import swaps
+from clementineline.coordination import watching
 from clementineline.coordination import work
 from clementineline.daemons import health
 from clementineline.daemons import incarnations
@@ -29,9 +29,7 @@
 
 ANNOUNCE_INTERVAL_S = 1.0
 SERVICE_PROBE_S = 1.0
-REGISTER_RETRY_S = 5.0
 LEAVING_NOTICE_S = 1.0
-MEMBER_KIND = 'member'
 
 
 class Sidecar(sessions.SessionEvents):
@@ -338,22 +336,8 @@
             await asyncio.sleep(links.jitter(ANNOUNCE_INTERVAL_S))
 
     async def _register(self):
-        """Write this member into the platform, until it has taken it."""
-        while True:
-            try:
-                await self._write_member()
-                return
-            except errors.PlatformError as error:
-                self.log.info('not registered yet', reason=str(error))
-            await asyncio.sleep(links.jitter(REGISTER_RETRY_S))
-
-    async def _write_member(self):
-        name = self.settings.name
-        current = await self.platform.read(MEMBER_KIND, name)
-        member = msgspec.to_builtins(self.build_member())
-        expected = current.version if current else 0
-        await self.platform.write(
-            MEMBER_KIND, name, {'member': member}, expected
+        await watching.register_member(
+            self.platform, self.build_member, self.log
         )
 
     async def stop(self):
