Remove a setting without effect and announce in one place

Cause: sessions_max was checked and documented but nothing read it; entry and sidecar announced themselves with the same loop; leftovers in two modules. Change: the setting is gone (the subset bounds the sessions), links.announce serves both daemons; the settings' two cases now use waiting_max.

--- a/src/clementineline/daemons/entry.py
+++ b/src/clementineline/daemons/entry.py
@@ -36,7 +36,6 @@
 
 __all__ = ['Entry']
 
-ANNOUNCE_INTERVAL_S = 1.0
 LEAVING_NOTICE_S = 1.0
 
 
@@ -54,7 +53,6 @@
         self.incarnation = incarnations.make_incarnation()
         self.revision = 1
         self.draining = False
-        self.open_requests = 0
         self.metrics = health.Metrics({'process': settings.name})
         self.tasks = tasks.TaskGroup(log)
         self.members = membership.MemberTable()
@@ -262,15 +260,11 @@
         return in_force
 
     async def _announce(self):
-        """Greet one of the seeds while no other entry is connected."""
-        seeds = [frames.parse_address(seed) for seed in self.settings.seeds]
-        turn = 0
-        while seeds:
-            if not self.fleet.peers:
-                address = seeds[turn % len(seeds)]
-                turn += 1
-                await links.greet_once(address, self.build_member())
-            await asyncio.sleep(links.jitter(ANNOUNCE_INTERVAL_S))
+        await links.announce(
+            self.settings.seeds,
+            self.build_member,
+            lambda: bool(self.fleet.peers),
+        )
 
     async def _register(self):
         await watching.register_member(
--- a/src/clementineline/daemons/sidecar.py
+++ b/src/clementineline/daemons/sidecar.py
@@ -27,7 +27,6 @@
 
 __all__ = ['Sidecar']
 
-ANNOUNCE_INTERVAL_S = 1.0
 SERVICE_PROBE_S = 1.0
 LEAVING_NOTICE_S = 1.0
 
@@ -322,18 +321,15 @@
             await asyncio.sleep(links.jitter(SERVICE_PROBE_S))
 
     async def _announce(self):
-        """Greet one of the seeds while too few entries are connected."""
-        seeds = [frames.parse_address(seed) for seed in self.settings.seeds]
-        turn = 0
-        while seeds:
-            connected = 0
-            for session in self.listener.sessions.values():
-                connected += session.connected
-            if not connected:
-                address = seeds[turn % len(seeds)]
-                turn += 1
-                await links.greet_once(address, self.build_member())
-            await asyncio.sleep(links.jitter(ANNOUNCE_INTERVAL_S))
+        await links.announce(
+            self.settings.seeds, self.build_member, self._is_connected
+        )
+
+    def _is_connected(self):
+        for session in self.listener.sessions.values():
+            if session.connected:
+                return True
+        return False
 
     async def _register(self):
         await watching.register_member(
--- a/src/clementineline/experiments/targets.py
+++ b/src/clementineline/experiments/targets.py
@@ -138,7 +138,7 @@
     moved = _find(figures, 'configuration change', 'sidecar')
     sessions = figures['subsets'][-1]['sessions_of_an_entry']
     hop_s = _apply(spread, sessions) / 1e3
-    total_s = ENTRY_HOPS_MAX * hop_s + WATCH_POLL_S * 0
+    total_s = ENTRY_HOPS_MAX * hop_s
     rate = CHANGES_PER_DAY / DAY_S
     sent = rate * _apply(moved, sessions)
     return [
--- a/src/clementineline/protocol/links.py
+++ b/src/clementineline/protocol/links.py
@@ -22,12 +22,14 @@
     'Dialler',
     'LinkTiming',
     'SessionListener',
+    'announce',
     'greet_once',
     'jitter',
 ]
 
 # Expected incarnation in a Hello that makes its sender known and no more.
 GREETING_ONLY = -1
+ANNOUNCE_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -367,3 +369,20 @@
     finally:
         await stream.close()
     return True
+
+
+async def announce(seeds, build_member, is_connected):
+    """Greet one seed after another while no entry is connected.
+
+    :param seeds: ``HOST:PORT`` of entries
+    :param build_member: function that returns this process's Member
+    :param is_connected: function that returns whether an entry is connected
+    """
+    addresses = [frames.parse_address(seed) for seed in seeds]
+    turn = 0
+    while addresses:
+        if not is_connected():
+            address = addresses[turn % len(addresses)]
+            turn += 1
+            await greet_once(address, build_member())
+        await asyncio.sleep(jitter(ANNOUNCE_INTERVAL_S))
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -107,7 +107,6 @@
     :param listen: ``HOST:PORT`` for sessions of other processes
     :param http: ``HOST:PORT`` for callers, trainers and operators
     :param seeds: ``HOST:PORT`` of entries to join
-    :param sessions_max: most sidecars that it keeps sessions with
     :param waiting_max: most requests that wait for a slot
     :param body_max_bytes: largest request body
     :param drain_s: longest graceful shutdown
@@ -122,7 +121,6 @@
     http: str
     platform: PlatformSettings
     seeds: list[str] = []
-    sessions_max: Count = 40
     waiting_max: Count = 100_000
     body_max_bytes: Count = 4 * 1024 * 1024
     drain_s: NotNegative = 30.0
--- a/src/clementineline/state/tests/test_settings.py
+++ b/src/clementineline/state/tests/test_settings.py
@@ -34,8 +34,8 @@
         ('change', 'expected'),
         [
             ({'listn': 'x'}, 'unknown field `listn`'),
-            ({'sessions_max': '40'}, r'Expected `int`.*\$\.sessions_max'),
-            ({'sessions_max': 0}, r'>= 1.*\$\.sessions_max'),
+            ({'waiting_max': '40'}, r'Expected `int`.*\$\.waiting_max'),
+            ({'waiting_max': 0}, r'>= 1.*\$\.waiting_max'),
             ({'listen': 'nowhere'}, r'\$\.listen.*HOST:PORT'),
             ({'seeds': ['a:99999']}, r'\$\.seeds\[0\].*1 to 65535'),
             ({'name': 'has space'}, r'\$\.name'),
