--- a/src/clementineline/clocks.py
+++ b/src/clementineline/clocks.py
@@ -1,8 +1,8 @@
-"""The clock of a process, replaceable in tests."""
+"""The clocks of a process, replaceable in tests."""
 
 import time
 
-__all__ = ['Clock']
+__all__ = ['BootClock', 'Clock']
 
 
 class Clock:
@@ -13,3 +13,13 @@
     def now(self):
         """Return monotonic time, in seconds."""
         return time.monotonic()
+
+
+class BootClock(Clock):
+    """Time since the VM booted, which counts while it is suspended."""
+
+    __slots__ = ()
+
+    def now(self):
+        """Return time since boot, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/clementineline/coordination/forwarding.py
@@ -0,0 +1,256 @@
+"""Live calls: which endpoint gets a call, how often, and what comes back."""
+
+import asyncio
+import dataclasses
+import random
+
+from clementineline import errors
+from clementineline.protocol import verdicts
+
+__all__ = ['CallForwarder', 'choose_endpoint', 'choose_service']
+
+RESPONSE_MAX_BYTES = 32 * 1024 * 1024
+# An endpoint that may run the call is asked a second time elsewhere when an
+# idempotent call is this share of its aim old: work takes a sixth of the aim
+# in the mean, so few healthy calls are repeated.
+HEDGE_SHARE = 0.55
+# A caller comes back after about one call's work.
+RETRY_AFTER_S = 0.1
+# Preference for the own zone, as a share of an endpoint's slots.
+OTHER_ZONE_LOAD = 0.02
+
+# Of several verdicts, the one that says most about the call is passed on.
+_RANKS = {
+    verdicts.NotRun: 0,
+    verdicts.MayHaveRun: 1,
+    verdicts.Answered: 2,
+}
+
+
+def choose_service(targets, draw):
+    """Choose a route's service by weight.
+
+    :param draw: number from 0 to 1
+    """
+    total = sum(target.weight for target in targets)
+    left = draw * total
+    for target in targets:
+        left -= target.weight
+        if left < 0:
+            return target.service
+    return targets[-1].service
+
+
+def choose_endpoint(candidates, tried, zone, now):
+    """Choose the endpoint with the least load; rested ones come last.
+
+    :param candidates: :class:`~directory.EndpointState` of the service
+    :param tried: ids that this call was already sent to
+    :param zone: zone of this process
+    :param now: loop time, in seconds
+    :returns: an :class:`~directory.EndpointState`, or None
+    """
+    best = None
+    best_score = None
+    for state in candidates:
+        if state.id in tried:
+            continue
+        load = state.estimate_load(now)
+        if state.record.zone != zone:
+            load += OTHER_ZONE_LOAD
+        load *= max(state.slowness, 1.0)
+        resting = now < state.penalty_until
+        score = (resting, load + 0.3 * (state.slowness - 1.0), random.random())
+        if best is None or score < best_score:
+            best, best_score = state, score
+    return best
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempts:
+    """State of one call."""
+
+    route: object
+    head: object
+    body: bytes
+    request_id: str
+    deadline: float
+    tried: list
+    candidates: list
+
+
+class CallForwarder:
+    """Passes live calls on to endpoints.
+
+    :param directory: the :class:`~directory.Directory`
+    :param pool: the :class:`~connections.ConnectionPool`
+    :param dialect: the platform's :class:`~dialect.Dialect`
+    :param zone: zone of this process
+    :param log: logger
+    """
+
+    __slots__ = ('_dialect', '_directory', '_log', '_pool', '_zone')
+
+    def __init__(self, directory, pool, dialect, zone, log):
+        self._directory = directory
+        self._pool = pool
+        self._dialect = dialect
+        self._zone = zone
+        self._log = log
+
+    async def forward(self, route, head, body, facts, deadline):
+        """Pass a call on until one verdict is final.
+
+        :param facts: the call's :class:`~dialect.CallFacts`
+        :param deadline: loop time at which the caller has left, in seconds
+        :returns: a verdict
+        """
+        service = choose_service(route.targets, random.random())
+        attempts = _Attempts(
+            route,
+            head,
+            body,
+            facts.request_id,
+            deadline,
+            [],
+            self._directory.list_usable(service),
+        )
+        pending = set()
+        try:
+            return await self._run_attempts(attempts, pending)
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _run_attempts(self, attempts, pending):
+        loop = asyncio.get_running_loop()
+        last = verdicts.NotRun('no endpoint is known', RETRY_AFTER_S)
+        hedge_at = None
+        while True:
+            now = loop.time()
+            if now >= attempts.deadline:
+                return verdicts.MayHaveRun('time limit')
+            if not pending or (hedge_at is not None and now >= hedge_at):
+                task = self._start_attempt(attempts, now)
+                if task is not None:
+                    pending.add(task)
+                hedge_at = None
+                if task is not None and attempts.route.idempotent:
+                    hedge_at = now + attempts.route.aim_s * HEDGE_SHARE
+            if not pending:
+                return last
+            until = attempts.deadline
+            if hedge_at is not None:
+                until = min(until, hedge_at)
+            done, _ = await asyncio.wait(
+                pending,
+                timeout=max(0.0, until - now),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                pending.discard(task)
+                verdict = task.result()
+                if self._is_final(attempts, verdict):
+                    return verdict
+                if _RANKS[type(verdict)] >= _RANKS[type(last)]:
+                    last = verdict
+
+    def _is_final(self, attempts, verdict):
+        if isinstance(verdict, verdicts.Answered):
+            if verdict.status < 500 or not attempts.route.idempotent:
+                return True
+            return len(attempts.tried) >= attempts.route.attempts_max
+        if isinstance(verdict, verdicts.MayHaveRun):
+            return not attempts.route.idempotent
+        return False
+
+    def _start_attempt(self, attempts, now):
+        if len(attempts.tried) >= attempts.route.attempts_max:
+            return None
+        state = choose_endpoint(
+            attempts.candidates, attempts.tried, self._zone, now
+        )
+        if state is None:
+            return None
+        attempts.tried.append(state.id)
+        return asyncio.create_task(self._attempt(attempts, state))
+
+    async def _attempt(self, attempts, state):
+        """Send the call to one endpoint.
+
+        :returns: a verdict
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        state.in_flight += 1
+        verdict = None
+        try:
+            verdict = await self._exchange(attempts, state)
+        finally:
+            state.in_flight -= 1
+            self._log.info(
+                'attempt',
+                request=attempts.request_id,
+                route=attempts.route.name,
+                endpoint=state.id,
+                attempt=len(attempts.tried),
+                load=round(state.estimate_load(started), 2),
+                load_age_s=round(started - state.load_at, 2),
+                took_ms=round((loop.time() - started) * 1000),
+                verdict=verdicts.name_verdict(verdict)
+                if verdict
+                else 'cancelled',
+                status=getattr(verdict, 'status', None),
+                reason=getattr(verdict, 'reason', None),
+            )
+        if isinstance(verdict, verdicts.Answered):
+            state.note_success()
+        else:
+            state.note_failure(loop.time())
+        return verdict
+
+    async def _exchange(self, attempts, state):
+        loop = asyncio.get_running_loop()
+        try:
+            client = await self._pool.take(state)
+        except errors.ConnectionLost as error:
+            return verdicts.NotRun(str(error), RETRY_AFTER_S)
+        whole = False
+        try:
+            left_s = attempts.deadline - loop.time()
+            if left_s <= 0:
+                return verdicts.NotRun('time limit before it was sent')
+            head = self._dialect.build_call(
+                attempts.head, state.record, left_s
+            )
+            client.send_request(head, attempts.body)
+            reply = await client.receive_head()
+            body = await client.receive_body(RESPONSE_MAX_BYTES)
+            whole = True
+        except errors.ProtocolError as error:
+            return verdicts.MayHaveRun(str(error))
+        finally:
+            if not whole:
+                client.close()
+        return self._judge(attempts, state, client, reply, body)
+
+    def _judge(self, attempts, state, client, reply, body):
+        """Give the verdict of a whole response."""
+        headers = tuple(reply.headers.raw_items())
+        facts = self._dialect.read_reply(headers)
+        if facts.request_id != attempts.request_id:
+            client.close()
+            if facts.not_run:
+                return verdicts.NotRun('refused without an id', RETRY_AFTER_S)
+            return verdicts.MayHaveRun(
+                f'response to another request {facts.request_id!r}'
+            )
+        state.note_load(facts, asyncio.get_running_loop().time())
+        self._pool.give_back(state, client)
+        if facts.not_run or reply.status_code == 421:
+            return verdicts.NotRun(
+                f'endpoint refused with {reply.status_code}', RETRY_AFTER_S
+            )
+        if not facts.signed and reply.status_code < 300:
+            return verdicts.MayHaveRun('response without a signature')
+        return verdicts.Answered(reply.status_code, headers, body)
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -30,6 +30,7 @@
     :param log: logger
     :param is_candidate: function that returns whether this entry is one of
         the few that contend at the full rate
+    :param address: ``HOST:PORT`` at which the holder answers peers
     """
 
     __slots__ = (
@@ -41,10 +42,12 @@
         '_settings',
         '_valid_until',
         '_version',
+        'address',
         'fence',
         'holder',
         'known_fence',
         'known_holder',
+        'quiet_s',
     )
 
     def __init__(
@@ -55,19 +58,22 @@
         clock,
         log,
         is_candidate=lambda: True,
+        address='',
     ):
         self.holder = holder
+        self.address = address
         self._platform = platform
         self._settings = settings
         self._clock = clock
         self._log = log
         self._is_candidate = is_candidate
         self._version = 0
-        self._observed_at = 0.0
+        self._observed_at = None
         self._valid_until = 0.0
         self.fence = 0
         self.known_fence = 0
         self.known_holder = ''
+        self.quiet_s = 0.0
 
     def holds(self):
         """Return whether the lease is held beyond doubt at this moment."""
@@ -92,24 +98,33 @@
         if self.fence:
             await self._renew()
             return
-        current = await self._platform.read(LEASE_KIND, LEASE_NAME)
+        current = await self._platform.read(
+            LEASE_KIND, LEASE_NAME, stale=True
+        )
         now = self._clock.now()
         version = current.version if current else 0
         if current is not None:
             self.known_holder = current.value['holder']
             self.known_fence = current.value['fence'] or current.version
-        if version != self._version:
+        # A stale answer may be older than what was seen before.
+        if version > self._version or self._observed_at is None:
             self._version = version
             self._observed_at = now
-            if not self._is_released(current):
+            if not self._is_free(current):
                 return
-        if current is not None and not self._is_released(current):
+        if not self._is_free(current):
             if now - self._observed_at < self._settings.duration_s:
                 return
         await self._acquire()
 
-    def _is_released(self, current):
-        return current is None or not current.value['holder']
+    def _is_free(self, current):
+        """Whether nobody else holds it.
+
+        A holder is one VM: what an earlier process of it held is free.
+        """
+        if current is None:
+            return True
+        return current.value['holder'] in ('', self.holder)
 
     async def _acquire(self):
         started = self._clock.now()
@@ -117,8 +132,11 @@
             # The fence is the version that this very write gets.
             version = await self._write(fence=0)
         except errors.WriteConflict:
-            self._version = 0
+            self._observed_at = None
             return
+        # Orders of another holder may be as young as this moment.
+        earlier = self.known_holder not in ('', self.holder)
+        self.quiet_s = self._settings.quiet_s if earlier else 0.0
         self._version = version
         self.fence = version
         self.known_fence = version
@@ -138,6 +156,8 @@
 
     async def _write(self, fence):
         value = {'holder': self.holder, 'fence': fence}
+        if self.address:
+            value['address'] = self.address
         return await self._platform.write(
             LEASE_KIND, LEASE_NAME, value, self._version
         )
@@ -154,7 +174,7 @@
     def _forget(self):
         self.fence = 0
         self._valid_until = 0.0
-        self._observed_at = self._clock.now()
+        self._observed_at = None
 
     async def release(self):
         """Give the lease up, so that another entry takes it at once."""
--- /dev/null
+++ b/src/clementineline/coordination/placement.py
@@ -0,0 +1,132 @@
+"""Which engine runs an item, and which engines hold which model's versions.
+
+Pure decisions. They answer the load of several trainers on shared engines:
+steps of some hundred items arrive at once, a few items are several times as
+long as the rest, and one engine in five may be several times slower.
+"""
+
+import math
+
+__all__ = [
+    'assign_models',
+    'choose_engine',
+    'find_straggler_move',
+    'order_waiting',
+]
+
+# An engine this much slower than the best free one loses its runs to it: the
+# prompt is read anew within a few steps of the engine.
+SLOW_FACTOR = 1.8
+
+
+def choose_engine(candidates, model, version_min, now, excluded=()):
+    """Choose the engine on which an item ends soonest.
+
+    :param candidates: :class:`~directory.EndpointState` of the service
+    :param model: the item's model, empty for none
+    :param version_min: oldest version that may run it
+    :param excluded: ids that should not get it
+    :returns: an :class:`~directory.EndpointState`, or None
+    """
+    best = None
+    best_score = None
+    for state in candidates:
+        if state.id in excluded or now < state.penalty_until:
+            continue
+        if not can_run(state, model, version_min):
+            continue
+        running = len(state.item_runs)
+        if running >= state.record.slots:
+            continue
+        pace = state.pace_s or 0.0
+        score = (pace > 0 and round(math.log(pace, 1.5)), running, state.id)
+        if best is None or score < best_score:
+            best, best_score = state, score
+    return best
+
+
+def can_run(state, model, version_min):
+    """Return whether an engine may run items of a model's version."""
+    if not model:
+        return True
+    if model in state.changing:
+        return False
+    return state.versions.get(model, 0) >= version_min
+
+
+def find_straggler_move(state, candidates, model, version_min, now):
+    """Return whether a run on an engine should go on at a faster one."""
+    if not state.pace_s:
+        return False
+    for other in candidates:
+        if other is state or not other.pace_s:
+            continue
+        if other.pace_s * SLOW_FACTOR > state.pace_s:
+            continue
+        if now < other.penalty_until:
+            continue
+        if len(other.item_runs) >= other.record.slots:
+            continue
+        if can_run(other, model, version_min):
+            return True
+    return False
+
+
+def order_waiting(runs):
+    """Order the waiting items of a submission.
+
+    Items of groups that were begun in an earlier submission come first, since
+    the trainer waits for them whatever else is whole; then the longest.
+
+    :param runs: runs with ``carried`` and ``item.length_hint``
+    """
+    return sorted(
+        runs, key=lambda run: (not run.carried, -run.item.length_hint)
+    )
+
+
+def assign_models(models, engines, previous):
+    """Share engines among models evenly, and move as few as possible.
+
+    :param models: names of the models that trainers use
+    :param engines: dict from engine id to its versions by model
+    :param previous: the last assignment, dict from engine id to model
+    :returns: dict from engine id to model
+    """
+    if not models:
+        return {}
+    share = math.ceil(len(engines) / len(models))
+    counts = dict.fromkeys(models, 0)
+    assignment = {}
+    for engine in sorted(engines):
+        model = previous.get(engine)
+        if model in counts and counts[model] < share:
+            assignment[engine] = model
+            counts[model] += 1
+    free = [engine for engine in sorted(engines) if engine not in assignment]
+    for engine in free:
+        versions = engines[engine]
+        # The fewest engines first, then the newest version it already has.
+        model = min(
+            models,
+            key=lambda name: (counts[name], -versions.get(name, 0), name),
+        )
+        assignment[engine] = model
+        counts[model] += 1
+    return _balance(assignment, counts, models)
+
+
+def _balance(assignment, counts, models):
+    """Move engines from models with two more than another one has."""
+    while models:
+        most = max(models, key=lambda name: counts[name])
+        least = min(models, key=lambda name: counts[name])
+        if counts[most] - counts[least] < 2:
+            break
+        for engine in sorted(assignment):
+            if assignment[engine] == most:
+                assignment[engine] = least
+                counts[most] -= 1
+                counts[least] += 1
+                break
+    return assignment
--- /dev/null
+++ b/src/clementineline/coordination/stepowner.py
@@ -0,0 +1,632 @@
+"""The owner of open submissions: runs their items and records the results.
+
+All that it holds can be rebuilt from the ledger. Two owners at once waste
+work, but positions are fixed by the ledger alone.
+"""
+
+import asyncio
+import collections
+import time
+import zlib
+
+from clementineline import errors
+from clementineline.coordination import forwarding
+from clementineline.coordination import itemruns
+from clementineline.coordination import ledger
+from clementineline.coordination import placement
+from clementineline.state import submissions
+
+__all__ = ['OpenSubmission', 'StepOwner']
+
+TICK_S = 0.1
+# Results that end within this time share a chunk, and its two store calls.
+APPEND_PAUSE_S = 0.08
+APPEND_RETRY_S = 0.2
+CHUNK_BYTES_MAX = 700_000
+PAGE_BYTES_MAX = 900_000
+REFUSED_PAUSE_S = 0.05
+BROKEN_PAUSE_S = 0.05
+MOVES_MAX = 2
+# Texts of items whose submission has ended, for a later one with their ids.
+KEPT_TEXTS_MAX = 4000
+
+
+class OpenSubmission:
+    """A submission with its results so far.
+
+    :param submission: the :class:`~submissions.Submission`
+    :param ended: whether its end was recorded
+    """
+
+    __slots__ = (
+        'changed',
+        'chunk_count',
+        'ended',
+        'finished',
+        'loaded',
+        'loading',
+        'positions',
+        'results',
+        'runs',
+        'submission',
+        'waiting',
+        'writer',
+    )
+
+    def __init__(self, submission, ended):
+        self.submission = submission
+        self.ended = ended
+        self.loaded = False
+        self.loading = asyncio.Lock()
+        self.chunk_count = 0
+        self.results = []
+        self.positions = {}
+        self.finished = {}
+        self.runs = {}
+        self.waiting = []
+        self.changed = asyncio.Event()
+        self.writer = None
+
+    @property
+    def complete(self):
+        """Whether each item has its position."""
+        return len(self.results) >= len(self.submission.items)
+
+    def add_chunk(self, chunk):
+        """Take a chunk that is recorded; its positions are final."""
+        self.chunk_count += 1
+        for result in chunk.results:
+            self.positions[result.item_id] = len(self.results)
+            self.results.append(result)
+            self.finished.pop(result.item_id, None)
+            run = self.runs.pop(result.item_id, None)
+            if run is not None:
+                if run in self.waiting:
+                    self.waiting.remove(run)
+                if run.task is not None:
+                    run.task.cancel()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+class StepOwner:
+    """Runs all open submissions while this process leads.
+
+    :param ledger: the :class:`~ledger.Ledger`
+    :param directory: the :class:`~directory.Directory`
+    :param pool: the :class:`~connections.ConnectionPool`
+    :param dialect: the platform's dialect
+    :param get_routes: function that returns the route table in force
+    :param may_lead: function that returns whether the lease is held
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_dialect',
+        '_directory',
+        '_get_routes',
+        '_kept_texts',
+        '_ledger',
+        '_log',
+        '_may_lead',
+        '_pool',
+        '_tasks',
+        '_wakeup',
+        'known',
+        'open',
+        'retain_s',
+    )
+
+    def __init__(
+        self,
+        steps_ledger,
+        directory,
+        pool,
+        dialect,
+        get_routes,
+        may_lead,
+        log,
+        retain_s,
+    ):
+        self._ledger = steps_ledger
+        self._directory = directory
+        self._pool = pool
+        self._dialect = dialect
+        self._get_routes = get_routes
+        self._may_lead = may_lead
+        self._log = log
+        self._kept_texts = collections.OrderedDict()
+        self._tasks = set()
+        self._wakeup = asyncio.Event()
+        self.open = {}
+        self.known = False
+        self.retain_s = retain_s
+
+    # What the ledger says.
+
+    def apply(self, objects, removed, whole):
+        """Apply a list or changes of the ledger's submissions."""
+        for found in objects:
+            decoded = ledger.decode_submission_object(found)
+            if decoded is None:
+                self._log.error('unreadable submission', name=found.name)
+                continue
+            submission, ended = decoded
+            entry = self.open.get(submission.id)
+            if entry is None:
+                entry = OpenSubmission(submission, ended)
+                self.open[submission.id] = entry
+                if not ended:
+                    self._spawn(self._start(entry))
+            elif ended and not entry.ended:
+                self._end(entry)
+        for name in removed:
+            self.open.pop(name, None)
+        if whole:
+            self.known = True
+
+    def wake(self):
+        """Look again at what can run: something has changed."""
+        self._wakeup.set()
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+        return task
+
+    def _note_end(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('step task failed', exc_info=task.exception())
+
+    async def load(self, entry):
+        """Read a submission's results once."""
+        async with entry.loading:
+            while not entry.loaded:
+                chunks = await self._ledger.read_chunks(entry.submission.id)
+                for chunk in chunks:
+                    entry.add_chunk(chunk)
+                entry.loaded = True
+
+    async def _start(self, entry):
+        submission = entry.submission
+        age_s = time.time() - submission.accepted_at
+        while not entry.loaded:
+            # A fresh submission is nobody's yet; its first create is checked
+            # by the store all the same.
+            try:
+                await self.load(entry)
+            except errors.PlatformError as error:
+                self._log.info('results not read', e=str(error))
+                await asyncio.sleep(APPEND_RETRY_S)
+        if entry.ended:
+            return
+        for item in submission.items:
+            if item.id in entry.positions:
+                continue
+            run = itemruns.ItemRun(item)
+            self._reuse_text(submission, run)
+            entry.runs[item.id] = run
+            if run.whole:
+                entry.finished[item.id] = run.build_result()
+            else:
+                entry.waiting.append(run)
+        carried = {
+            run.item.group for run in entry.runs.values() if run.carried
+        }
+        for run in entry.runs.values():
+            run.carried = run.item.group in carried
+        entry.waiting = placement.order_waiting(entry.waiting)
+        entry.writer = self._spawn(self._write_results(entry))
+        self._log.info(
+            'submission opened',
+            submission=submission.id,
+            step=submission.step,
+            model=submission.model,
+            version_min=submission.version_min,
+            items=len(submission.items),
+            listed=len(entry.results),
+            reused=len(entry.finished),
+            carried=len(carried),
+            age_s=round(age_s, 2),
+        )
+        self.wake()
+
+    def _reuse_text(self, submission, run):
+        kept = self._kept_texts.pop(run.item.id, None)
+        if kept is None:
+            return
+        run.carried = True
+        if min(kept.versions, default=0) < submission.version_min:
+            return
+        if not kept.texts:
+            return
+        if self._is_single_version(submission) and not kept.whole:
+            return
+        run.texts = list(kept.texts)
+        run.versions = list(kept.versions)
+        run.whole = kept.whole
+
+    def _is_single_version(self, submission):
+        table = self._get_routes()
+        route = table.find(submission.route) if table else None
+        return route is not None and route.single_version
+
+    def _end(self, entry):
+        entry.ended = True
+        for run in entry.runs.values():
+            if run.task is not None:
+                run.task.cancel()
+        self._keep_texts(entry)
+        while len(self._kept_texts) > KEPT_TEXTS_MAX:
+            self._kept_texts.popitem(last=False)
+        entry.waiting.clear()
+        if entry.writer is not None:
+            entry.writer.cancel()
+        self._log.info(
+            'submission ended',
+            submission=entry.submission.id,
+            step=entry.submission.step,
+            listed=len(entry.results),
+            unfinished=len(entry.runs),
+        )
+        self.wake()
+
+    def _keep_texts(self, entry):
+        """Keep what is held of groups that are not whole."""
+        groups = {item.id: item.group for item in entry.submission.items}
+        broken = {groups[item_id] for item_id in entry.runs}
+        broken.update(groups[item_id] for item_id in entry.finished)
+        for run in entry.runs.values():
+            self._kept_texts[run.item.id] = run
+        for result in [*entry.results, *entry.finished.values()]:
+            if groups.get(result.item_id) not in broken:
+                continue
+            if result.state != submissions.COMPLETED:
+                continue
+            kept = itemruns.ItemRun(None)
+            kept.texts = [result.text]
+            kept.versions = list(result.versions)
+            kept.whole = True
+            self._kept_texts[result.item_id] = kept
+
+    # Running items.
+
+    async def run(self):
+        """Start what can run until cancelled."""
+        while True:
+            self._wakeup.clear()
+            if self._may_lead():
+                self._give_up_old()
+                self._move_stragglers()
+                self._start_waiting()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wakeup.wait()
+            except TimeoutError:
+                continue
+
+    def _list_engines(self, submission, item_id):
+        """Return the engines that an item may run at now."""
+        table = self._get_routes()
+        route = table.find(submission.route) if table else None
+        if route is None:
+            return []
+        draw = zlib.crc32(item_id.encode()) / 2**32
+        service = forwarding.choose_service(route.targets, draw)
+        return self._directory.list_usable(service)
+
+    def _start_waiting(self):
+        now = asyncio.get_running_loop().time()
+        for entry in self.open.values():
+            if entry.ended or not entry.waiting:
+                continue
+            self._start_items(entry, now)
+
+    def _start_items(self, entry, now):
+        submission = entry.submission
+        left = []
+        for index, run in enumerate(entry.waiting):
+            if now < run.not_before:
+                left.append(run)
+                continue
+            engines = self._list_engines(submission, run.item.id)
+            state = placement.choose_engine(
+                engines,
+                submission.model,
+                submission.version_min,
+                now,
+                run.avoid,
+            )
+            if state is None and run.avoid:
+                run.avoid = set()
+            if state is None:
+                left.append(run)
+                continue
+            run.state = state
+            state.item_runs.add(run)
+            run.task = self._spawn(self._run(entry, run, state))
+        entry.waiting = left
+
+    async def _run(self, entry, run, state):
+        submission = entry.submission
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        held = len(run.texts)
+        end, reason = itemruns.RunEnd.BROKEN, 'cancelled'
+        try:
+            end, reason = await itemruns.run_item(
+                submission, run, state, self._pool, self._dialect
+            )
+        finally:
+            state.item_runs.discard(run)
+            run.task = None
+            run.state = None
+            self._log.info(
+                'item run',
+                request=run.item.id,
+                submission=submission.id,
+                step=submission.step,
+                endpoint=state.id,
+                resumed_after=held,
+                events=len(run.texts),
+                versions=run.versions,
+                pace_ms=round((state.pace_s or 0) * 1000),
+                took_ms=round((loop.time() - started) * 1000),
+                end=end,
+                reason=reason,
+            )
+            if run.moving:
+                run.moving = False
+                if not entry.ended and run.item.id in entry.runs:
+                    entry.waiting.append(run)
+                    self.wake()
+        if entry.ended or run.item.id not in entry.runs:
+            return
+        self._settle(entry, run, state, end, loop.time())
+        self.wake()
+
+    def _settle(self, entry, run, state, end, now):
+        """Decide what follows a run."""
+        kind = itemruns.RunEnd
+        if end is kind.COMPLETED:
+            state.note_success()
+            if (
+                self._is_single_version(entry.submission)
+                and len(run.versions) > 1
+            ):
+                run.forget_text()
+                entry.waiting.insert(0, run)
+                return
+            self._finish(entry, run.build_result())
+            return
+        if end is kind.IMPOSSIBLE:
+            self._abandon(entry, run, 'the engine says it cannot be done')
+            return
+        if end is kind.FAILED:
+            run.failures += 1
+            table = self._get_routes()
+            route = table.find(entry.submission.route) if table else None
+            if route is not None and run.failures >= route.attempts_max:
+                self._abandon(entry, run, 'failed at each attempt')
+                return
+            run.avoid.add(state.id)
+        elif end is kind.NOT_RUN:
+            run.not_before = now + REFUSED_PAUSE_S
+            run.avoid.add(state.id)
+        elif end in (kind.UNREACHED, kind.BROKEN):
+            state.note_failure(now)
+            run.not_before = now + BROKEN_PAUSE_S
+        entry.waiting.insert(0, run)
+
+    def _finish(self, entry, result):
+        entry.finished[result.item_id] = result
+        entry.runs.pop(result.item_id, None)
+
+    def _abandon(self, entry, run, reason):
+        self._log.warning(
+            'item abandoned',
+            request=run.item.id,
+            submission=entry.submission.id,
+            reason=reason,
+        )
+        if run.task is not None:
+            run.task.cancel()
+        if run in entry.waiting:
+            entry.waiting.remove(run)
+        self._finish(
+            entry,
+            submissions.Result(run.item.id, submissions.ABANDONED),
+        )
+
+    def _give_up_old(self):
+        table = self._get_routes()
+        if table is None:
+            return
+        now = time.time()
+        for entry in list(self.open.values()):
+            age_s = now - entry.submission.accepted_at
+            if age_s > self.retain_s:
+                self._spawn(self._remove(entry))
+                continue
+            if entry.ended or not entry.runs:
+                continue
+            route = table.find(entry.submission.route)
+            if route is None:
+                reason = 'its route was removed'
+            elif route.queue_s and age_s > route.queue_s:
+                reason = f'not done after {route.queue_s} s'
+            else:
+                continue
+            for run in list(entry.runs.values()):
+                self._abandon(entry, run, reason)
+
+    async def _remove(self, entry):
+        submission_id = entry.submission.id
+        self.open.pop(submission_id, None)
+        try:
+            await self.load(entry)
+            await self._ledger.remove(submission_id, entry.chunk_count)
+        except errors.PlatformError as error:
+            self._log.info('submission not removed', e=str(error))
+            self.open[submission_id] = entry
+            return
+        self._log.info('submission removed', submission=submission_id)
+
+    def _move_stragglers(self):
+        now = asyncio.get_running_loop().time()
+        for entry in self.open.values():
+            if entry.ended or entry.waiting:
+                continue
+            submission = entry.submission
+            for run in list(entry.runs.values()):
+                if run.task is None or run.moving or run.moves >= MOVES_MAX:
+                    continue
+                engines = self._list_engines(submission, run.item.id)
+                if not placement.find_straggler_move(
+                    run.state,
+                    engines,
+                    submission.model,
+                    submission.version_min,
+                    now,
+                ):
+                    continue
+                run.moves += 1
+                run.avoid.add(run.state.id)
+                self._log.info(
+                    'straggler moved',
+                    request=run.item.id,
+                    endpoint=run.state.id,
+                    pace_ms=round(run.state.pace_s * 1000),
+                    events=len(run.texts),
+                )
+                run.moving = True
+                run.task.cancel()
+
+    # Recording results.
+
+    async def _write_results(self, entry):
+        while not entry.complete:
+            if not entry.finished:
+                await asyncio.sleep(APPEND_PAUSE_S)
+                continue
+            await asyncio.sleep(APPEND_PAUSE_S)
+            if not self._may_lead():
+                continue
+            await self._append(entry)
+
+    async def _append(self, entry):
+        submission_id = entry.submission.id
+        chosen = []
+        size = 0
+        for result in entry.finished.values():
+            if chosen and size + len(result.text) > CHUNK_BYTES_MAX:
+                break
+            chosen.append(result)
+            size += len(result.text)
+        number = entry.chunk_count
+        chunk = submissions.ResultChunk(len(entry.results), tuple(chosen))
+        try:
+            await self._ledger.append(submission_id, number, chunk)
+        except errors.WriteConflict:
+            await self._adopt(entry, number)
+            return
+        except errors.PlatformError as error:
+            self._log.info(
+                'results not recorded',
+                submission=submission_id,
+                results=len(chosen),
+                reason=str(error),
+            )
+            await asyncio.sleep(APPEND_RETRY_S)
+            return
+        entry.add_chunk(chunk)
+        self._log.info(
+            'results recorded',
+            submission=submission_id,
+            chunk=number,
+            results=len(chosen),
+            listed=len(entry.results),
+        )
+
+    async def _adopt(self, entry, number):
+        """Take the chunk that another writer, or a late write, put there."""
+        try:
+            chunk = await self._ledger.read_chunk(entry.submission.id, number)
+        except errors.PlatformError as error:
+            self._log.info('chunk not read', e=str(error))
+            await asyncio.sleep(APPEND_RETRY_S)
+            return
+        if chunk is not None:
+            self._log.info(
+                'chunk adopted',
+                submission=entry.submission.id,
+                chunk=number,
+                results=len(chunk.results),
+            )
+            entry.add_chunk(chunk)
+
+    # Reading.
+
+    async def read(self, submission_id, after, wait_s):
+        """Read results from a position on.
+
+        :returns: a :class:`~submissions.ResultPage`; None if the submission
+            is not known here
+        :raises errors.PlatformError: if its results cannot be read now
+        """
+        entry = self.open.get(submission_id)
+        if entry is None:
+            return None
+        if not entry.loaded:
+            await self.load(entry)
+        if after >= len(entry.results) and not entry.complete:
+            if wait_s > 0 and not entry.ended:
+                try:
+                    async with asyncio.timeout(wait_s):
+                        await entry.changed.wait()
+                except TimeoutError:
+                    pass
+        return build_page(entry.submission, entry.results, after)
+
+    async def read_body(self, submission_id, item_id):
+        """Return ``(known, body)`` of an item that is not listed."""
+        entry = self.open.get(submission_id)
+        if entry is None:
+            return False, None
+        if not entry.loaded:
+            await self.load(entry)
+        return True, find_body(entry.submission, entry.positions, item_id)
+
+    async def stop(self):
+        """Cancel all runs and writers."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+
+def build_page(submission, results, after):
+    """Return the :class:`~submissions.ResultPage` from a position on."""
+    chosen = []
+    size = 0
+    for result in results[after:]:
+        size += len(result.text) + 200
+        if chosen and size > PAGE_BYTES_MAX:
+            break
+        chosen.append(result)
+    return submissions.ResultPage(
+        len(submission.items), after + len(chosen), tuple(chosen)
+    )
+
+
+def find_body(submission, listed, item_id):
+    """Return the body of an item that is not listed, or None."""
+    if item_id in listed:
+        return None
+    for item in submission.items:
+        if item.id == item_id:
+            return item.body
+    return None
--- /dev/null
+++ b/src/clementineline/coordination/versions.py
@@ -0,0 +1,250 @@
+"""Bringing engines to the versions that trainers name.
+
+Only the holder of the lease sends orders. After a change of holder it waits
+until the last order of the earlier one is as old as a lease.
+"""
+
+import asyncio
+
+from clementineline import errors
+from clementineline.coordination import placement
+from clementineline.protocol import links
+from clementineline.state import dialect as dialects
+
+__all__ = ['VersionKeeper']
+
+TICK_S = 0.25
+CALL_TIMEOUT_S = 0.8
+REPORT_PAUSE_S = 0.2
+ORDER_RETRY_S = 0.3
+# A load takes about a second, several at once longer.
+LOAD_TIMEOUT_S = 8.0
+
+
+class VersionKeeper:
+    """Sends orders to engines whose version is behind.
+
+    :param holder: name of this VM
+    :param directory: the :class:`~directory.Directory`
+    :param pool: the :class:`~connections.ConnectionPool`
+    :param dialect: the platform's dialect
+    :param lease: the :class:`~lease.LeaseKeeper`
+    :param get_routes: function that returns the route table in force
+    :param needs_whole: function from a model to whether one version must
+        make each result
+    :param on_change: called when an engine's version changed
+    :param quiet_s: wait after another holder's last possible order
+    :param log: logger
+    """
+
+    __slots__ = (
+        '_assignment',
+        '_dialect',
+        '_directory',
+        '_get_routes',
+        '_holder',
+        '_lease',
+        '_log',
+        '_needs_whole',
+        '_on_change',
+        '_pool',
+        '_quiet_s',
+        '_tasks',
+        'named',
+        'wakeup',
+    )
+
+    def __init__(
+        self,
+        holder,
+        directory,
+        pool,
+        dialect,
+        lease,
+        get_routes,
+        needs_whole,
+        on_change,
+        quiet_s,
+        log,
+    ):
+        self._assignment = {}
+        self._dialect = dialect
+        self._directory = directory
+        self._get_routes = get_routes
+        self._holder = holder
+        self._lease = lease
+        self._log = log
+        self._needs_whole = needs_whole
+        self._on_change = on_change
+        self._pool = pool
+        self._quiet_s = quiet_s
+        self._tasks = {}
+        self.named = {}
+        self.wakeup = asyncio.Event()
+
+    def apply_named(self, objects, removed, whole):
+        """Take the versions that trainers have named."""
+        for found in objects:
+            named = self._dialect.decode_named_version(found.value)
+            if named is None:
+                self._log.warning('unreadable version', name=found.name)
+                continue
+            model, version = named
+            if version > self.named.get(model, 0):
+                self.named[model] = version
+                self._log.info('version named', model=model, version=version)
+        self.wakeup.set()
+
+    async def run(self):
+        """Send orders until cancelled."""
+        await asyncio.sleep(self._quiet_s)
+        try:
+            while True:
+                self.wakeup.clear()
+                if self._lease.holds():
+                    self._start_orders()
+                try:
+                    async with asyncio.timeout(TICK_S):
+                        await self.wakeup.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            for task in list(self._tasks.values()):
+                task.cancel()
+
+    def _start_orders(self):
+        table = self._get_routes()
+        if table is None:
+            return
+        for service in table.services.values():
+            models = [name for name in service.models if name in self.named]
+            if not service.models:
+                continue
+            engines = {}
+            for state in self._directory.list_usable(service.name):
+                engines[state.id] = state
+            assignment = placement.assign_models(
+                list(service.models),
+                {name: state.versions for name, state in engines.items()},
+                self._assignment.get(service.name, {}),
+            )
+            if assignment != self._assignment.get(service.name):
+                self._log.info(
+                    'models assigned',
+                    service=service.name,
+                    assignment=assignment,
+                )
+            self._assignment[service.name] = assignment
+            for name, model in assignment.items():
+                if model not in models or name in self._tasks:
+                    continue
+                state = engines[name]
+                if state.versions.get(model, 0) >= self.named[model]:
+                    continue
+                task = asyncio.create_task(self._bring(state, model))
+                self._tasks[name] = task
+                task.add_done_callback(
+                    lambda task, name=name: self._note_end(name, task)
+                )
+
+    def _note_end(self, name, task):
+        self._tasks.pop(name, None)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('order failed', exc_info=task.exception())
+        self.wakeup.set()
+
+    async def _bring(self, state, model):
+        """Bring an engine to the newest version of a model."""
+        deadline = asyncio.get_running_loop().time() + LOAD_TIMEOUT_S
+        version = self.named[model]
+        try:
+            while asyncio.get_running_loop().time() < deadline:
+                try:
+                    if await self._step(state, model, version):
+                        return
+                except (errors.ProtocolError, TimeoutError) as error:
+                    self._log.info(
+                        'order not answered',
+                        endpoint=state.id,
+                        model=model,
+                        version=version,
+                        reason=repr(error),
+                    )
+                    await asyncio.sleep(links.jitter(ORDER_RETRY_S))
+                if state.id not in self._directory.endpoints:
+                    return
+        finally:
+            state.changing.discard(model)
+            self._on_change()
+
+    async def _step(self, state, model, version):
+        """Ask for the engine's state, and order what it lacks.
+
+        :returns: whether it has the version
+        """
+        report = await self._read_report(state)
+        held = report.versions.get(model, 0)
+        state.versions[model] = held
+        if held >= version:
+            self._log.info(
+                'version loaded',
+                endpoint=state.id,
+                model=model,
+                version=held,
+            )
+            return True
+        if report.changing:
+            await asyncio.sleep(REPORT_PAUSE_S)
+            return False
+        if not self._lease.holds():
+            raise errors.ProtocolError('the lease is not held')
+        state.changing.add(model)
+        order = dialects.EngineOrder(
+            state.id,
+            model,
+            version,
+            self._holder,
+            self._lease.fence,
+            report.orders_accepted,
+            not self._needs_whole(model),
+        )
+        head, body = self._dialect.build_order_call(order, state.record)
+        status, _ = await self._call(state, head, body)
+        outcome = self._dialect.read_order_status(status)
+        self._log.info(
+            'order sent',
+            endpoint=state.id,
+            model=model,
+            version=version,
+            held=held,
+            fence=order.fence,
+            expected=order.orders_accepted,
+            outcome=outcome.value,
+            status=status,
+        )
+        if outcome is dialects.OrderOutcome.ANOTHER_ENDPOINT:
+            return True
+        await asyncio.sleep(REPORT_PAUSE_S)
+        return False
+
+    async def _read_report(self, state):
+        head = self._dialect.build_report_call(state.record)
+        status, body = await self._call(state, head, b'')
+        if status != 200:
+            raise errors.ProtocolError(f'report: status {status}')
+        return self._dialect.decode_report(body)
+
+    async def _call(self, state, head, body):
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            client = await self._pool.take(state)
+            done = False
+            try:
+                client.send_request(head, body)
+                reply = await client.receive_head()
+                answer = await client.receive_body(1 << 20)
+                done = True
+            finally:
+                if not done:
+                    client.close()
+        self._pool.give_back(state, client)
+        return reply.status_code, answer
--- /dev/null
+++ b/src/clementineline/daemons/gateway.py
@@ -0,0 +1,369 @@
+"""The gateway: callers' and trainers' requests, straight to the endpoints."""
+
+import asyncio
+import collections
+import random
+import time
+
+from clementineline import clocks
+from clementineline import errors
+from clementineline.coordination import connections
+from clementineline.coordination import directory
+from clementineline.coordination import following
+from clementineline.coordination import forwarding
+from clementineline.coordination import leaders
+from clementineline.coordination import ledger
+from clementineline.coordination import routetable
+from clementineline.coordination import stepowner
+from clementineline.daemons import tasks
+from clementineline.protocol import verdicts
+from clementineline.state import dialect as dialects
+from clementineline.state import questions
+from clementineline.transport import frames
+from clementineline.transport import http
+
+__all__ = ['Gateway']
+
+SWEEP_INTERVAL_S = 1.0
+# Entries change in bursts while versions load; they come in one answer.
+DIRECTORY_PAUSE_S = 0.3
+# Two probes a second apart take a gateway out of the balancer's rotation.
+ROTATION_S = 3.2
+# Kept of the time between the stop signal and the kill.
+STOP_MARGIN_S = 0.8
+# A caller that is refused for want of configuration comes back after this.
+NOT_READY_RETRY_S = 0.2
+# The store is asked again by another gateway, or after a short outage.
+STORE_RETRY_S = 0.3
+ACCEPT_PAUSE_S = 0.05
+ACCEPT_TIMEOUT_S = 4.0
+ENDED_KEPT_MAX = 2000
+
+
+class Gateway:
+    """Serves callers until it is told to stop.
+
+    :param settings: a :class:`~settings.GatewaySettings`
+    :param store: the client of the platform's store
+    :param dialect: the platform's dialect
+    :param log: logger
+    """
+
+    def __init__(self, settings, store, dialect, log):
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._log = log
+        self._clock = clocks.BootClock()
+        self._tasks = tasks.TaskGroup(log)
+        self._directory = directory.Directory(
+            dialect.decode_endpoint, self._clock, log
+        )
+        self._endpoints = following.Follower(
+            store,
+            dialect.kinds.endpoints,
+            self._apply_endpoints,
+            self._clock,
+            log,
+            DIRECTORY_PAUSE_S,
+        )
+        self._routes = routetable.RouteKeeper(dialect, log)
+        self._routes_follower = following.Follower(
+            store,
+            dialect.kinds.routes,
+            self._apply_routes,
+            self._clock,
+            log,
+        )
+        self._pool = connections.ConnectionPool()
+        self._forwarder = forwarding.CallForwarder(
+            self._directory, self._pool, dialect, settings.zone, log
+        )
+        self._ledger = ledger.Ledger(store)
+        self._leaders = leaders.LeaderFinder(store, log)
+        self._ended = collections.OrderedDict()
+        self._server = http.Server(
+            self._handle, http.ServerLimits(), log
+        )
+        self._ready_server = http.Server(
+            self._handle_ready, http.ServerLimits(), log
+        )
+        self._stopping = False
+
+    async def start(self):
+        """Listen and follow the store."""
+        self._tasks.keep(self._routes_follower.run, 'routes')
+        self._tasks.keep(self._endpoints.run, 'endpoints')
+        self._tasks.keep(self._sweep, 'sweep')
+        await self._server.start(frames.parse_address(self._settings.http))
+        await self._ready_server.start(
+            frames.parse_address(self._settings.ready)
+        )
+        self._log.info('gateway started', zone=self._settings.zone)
+
+    def reload(self, settings):
+        """Take new settings; addresses change at the next start only."""
+        self._settings = settings
+        self._log.info('settings reloaded')
+
+    async def stop(self):
+        """Leave the balancer's rotation, then end what is in flight."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._stopping = True
+        self._server.draining = True
+        self._log.info('gateway stopping', open=self._server.connections)
+        await asyncio.sleep(ROTATION_S)
+        self._server.stop()
+        left_s = self._settings.grace_s - STOP_MARGIN_S
+        left_s -= loop.time() - started
+        await self._server.drain(max(0.0, left_s))
+        self._ready_server.stop()
+        await self._tasks.stop()
+        self._log.info(
+            'gateway stopped',
+            open=self._server.connections,
+            took_s=round(loop.time() - started, 2),
+        )
+
+    def _apply_endpoints(self, objects, removed, whole):
+        was_out = self._endpoints.was_out(directory.RETURN_S)
+        self._directory.apply(objects, removed, whole, was_out)
+
+    def _apply_routes(self, objects, removed, whole):
+        if not self._routes.apply(objects):
+            return
+        limits = self._routes.table.limits
+        self._server.limits = http.ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_s,
+            limits.idle_s,
+        )
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._directory.drop_doubtful()
+            self._pool.close_idle(self._directory.endpoints)
+
+    @property
+    def is_ready(self):
+        """Whether callers should be sent here."""
+        if self._stopping or self._routes.table is None:
+            return False
+        return self._endpoints.version is not None
+
+    async def _handle_ready(self, incoming):
+        status = 200 if self.is_ready else 503
+        if incoming.head.path != self._dialect.ready_path:
+            status = 404
+        incoming.respond(status, (), b'')
+
+    async def _handle(self, incoming):
+        head = incoming.head
+        facts = self._dialect.read_call(head)
+        batch_call = self._dialect.read_batch_call(head)
+        if batch_call is not None:
+            await self._handle_batch(incoming, batch_call)
+            return
+        table = self._routes.table
+        if table is None or self._endpoints.version is None:
+            self._refuse(incoming, facts, 503, 'no configuration yet')
+            return
+        route = table.match(facts.host, facts.path)
+        if route is None:
+            status = 404 if self._routes_follower.current else 503
+            self._refuse(incoming, facts, status, 'no route')
+            return
+        if not facts.request_id:
+            self._refuse(incoming, facts, 400, 'no request id')
+            return
+        if route.batch:
+            await self._submit(incoming, route, facts)
+            return
+        await self._forward(incoming, route, facts)
+
+    def _refuse(
+        self, incoming, facts, status, reason, retry_after_s=NOT_READY_RETRY_S
+    ):
+        headers = ()
+        if status in (429, 503):
+            headers = self._dialect.build_retry_headers(retry_after_s)
+        table = self._routes.table
+        self._log.info(
+            'refused',
+            request=facts.request_id,
+            path=facts.path,
+            host=facts.host,
+            status=status,
+            reason=reason,
+            routes_version=table.version if table else None,
+        )
+        incoming.respond(status, headers, f'{reason}\n'.encode())
+
+    # Live calls.
+
+    async def _forward(self, incoming, route, facts):
+        limit_s = route.timeout_s
+        if facts.timeout_s is not None:
+            limit_s = min(limit_s, facts.timeout_s)
+        verdict = await self._forwarder.forward(
+            route,
+            incoming.head,
+            incoming.body,
+            facts,
+            incoming.arrived_at + limit_s,
+        )
+        loop = asyncio.get_running_loop()
+        took_s = loop.time() - incoming.arrived_at
+        if isinstance(verdict, verdicts.Answered):
+            headers = http.strip_connection_headers(verdict.headers)
+            incoming.respond(verdict.status, headers, verdict.body)
+            self._log.info(
+                'answered',
+                request=facts.request_id,
+                route=route.name,
+                status=verdict.status,
+                took_ms=round(took_s * 1000),
+            )
+            return
+        if isinstance(verdict, verdicts.NotRun):
+            self._refuse(
+                incoming, facts, 503, verdict.reason, verdict.retry_after_s
+            )
+            return
+        status = 504 if took_s >= limit_s else 502
+        self._refuse(incoming, facts, status, verdict.reason)
+
+    # Submissions.
+
+    async def _submit(self, incoming, route, facts):
+        service = forwarding.choose_service(route.targets, random.random())
+        try:
+            submission = self._dialect.decode_submission(
+                facts, route, service, incoming.body, time.time()
+            )
+        except errors.RequestError as error:
+            self._refuse(incoming, facts, error.status, str(error))
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + ACCEPT_TIMEOUT_S
+        ambiguous = False
+        while True:
+            try:
+                await self._ledger.accept(submission)
+                break
+            except errors.AmbiguousWrite as error:
+                ambiguous = True
+                reason = str(error)
+            except errors.PlatformError as error:
+                reason = str(error)
+                if not ambiguous:
+                    self._refuse(incoming, facts, 503, reason, STORE_RETRY_S)
+                    return
+            if loop.time() > deadline:
+                # It may be recorded yet, so no status may promise otherwise.
+                self._refuse(incoming, facts, 504, reason)
+                return
+            await asyncio.sleep(ACCEPT_PAUSE_S)
+        self._log.info(
+            'submission accepted',
+            request=facts.request_id,
+            route=route.name,
+            step=submission.step,
+            items=len(submission.items),
+            took_ms=round((loop.time() - incoming.arrived_at) * 1000),
+        )
+        incoming.respond(202, (), b'')
+
+    async def _handle_batch(self, incoming, call):
+        serve = {
+            dialects.BatchVerb.READ_RESULTS: self._read_results,
+            dialects.BatchVerb.READ_ITEM: self._read_item,
+            dialects.BatchVerb.END: self._end_submission,
+        }[call.verb]
+        try:
+            status, headers, body = await serve(call)
+        except errors.ClementinelineError as error:
+            self._log.info(
+                'submission not served',
+                submission=call.submission_id,
+                verb=call.verb.value,
+                reason=str(error),
+            )
+            headers = self._dialect.build_retry_headers(STORE_RETRY_S)
+            incoming.respond(503, headers, b'')
+            return
+        if status == 404:
+            self._log.info(
+                'submission not found',
+                submission=call.submission_id,
+                verb=call.verb.value,
+                item=call.item_id,
+            )
+        incoming.respond(status, headers, body)
+
+    async def _ask(self, question, wait_s=0.0):
+        """Ask the owner; None if the ledger has to be read instead."""
+        try:
+            answer = await self._leaders.ask(question, wait_s)
+        except errors.ClementinelineError as error:
+            self._log.info('owner not asked', reason=str(error))
+            return None
+        return None if isinstance(answer, questions.Unknown) else answer
+
+    async def _read_results(self, call):
+        question = questions.ReadResults(
+            call.submission_id, call.after, call.wait_s
+        )
+        answer = await self._ask(question, call.wait_s)
+        if answer is not None:
+            page = answer.page
+        else:
+            page = await self._read_recorded(call)
+            if page is None:
+                return 404, (), b''
+        headers = ((b'Content-Type', b'application/json'),)
+        return 200, headers, self._dialect.encode_page(page)
+
+    async def _read_recorded(self, call):
+        """Read results from the ledger itself."""
+        found = await self._ledger.read(call.submission_id)
+        if found is None:
+            return None
+        results = []
+        for chunk in await self._ledger.read_chunks(call.submission_id):
+            results.extend(chunk.results)
+        return stepowner.build_page(found[0], results, call.after)
+
+    async def _read_item(self, call):
+        question = questions.ReadBody(call.submission_id, call.item_id)
+        answer = await self._ask(question)
+        if answer is not None:
+            body = answer.body
+        else:
+            found = await self._ledger.read(call.submission_id)
+            if found is None:
+                return 404, (), b''
+            listed = set()
+            for chunk in await self._ledger.read_chunks(call.submission_id):
+                listed.update(result.item_id for result in chunk.results)
+            body = stepowner.find_body(found[0], listed, call.item_id)
+        if body is None:
+            return 404, (), b''
+        return 200, ((b'Content-Type', b'application/octet-stream'),), body
+
+    async def _end_submission(self, call):
+        if call.submission_id not in self._ended:
+            try:
+                known = await self._ledger.end(call.submission_id)
+            except errors.AmbiguousWrite:
+                # Ending twice is the same as ending once.
+                known = await self._ledger.end(call.submission_id)
+            if not known:
+                return 404, (), b''
+            self._ended[call.submission_id] = True
+            if len(self._ended) > ENDED_KEPT_MAX:
+                self._ended.popitem(last=False)
+        return 200, (), b''
--- /dev/null
+++ b/src/clementineline/daemons/keeper.py
@@ -0,0 +1,288 @@
+"""The keeper: one of several leads, owns submissions and orders engines."""
+
+import asyncio
+import random
+
+from clementineline import clocks
+from clementineline import errors
+from clementineline.coordination import connections
+from clementineline.coordination import directory
+from clementineline.coordination import following
+from clementineline.coordination import lease
+from clementineline.coordination import ledger
+from clementineline.coordination import routetable
+from clementineline.coordination import stepowner
+from clementineline.coordination import versions
+from clementineline.daemons import tasks
+from clementineline.protocol import asking
+from clementineline.state import questions
+from clementineline.transport import frames
+
+__all__ = ['Keeper']
+
+LEAD_CHECK_S = 0.05
+SWEEP_INTERVAL_S = 1.0
+RETIREMENT_RETRY_S = 0.5
+
+
+class Keeper:
+    """Contends for the lease and leads while it holds it.
+
+    :param settings: a :class:`~settings.KeeperSettings`
+    :param store: the client of the platform's store
+    :param dialect: the platform's dialect
+    :param log: logger
+    """
+
+    def __init__(self, settings, store, dialect, log):
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._log = log
+        self._clock = clocks.BootClock()
+        self._tasks = tasks.TaskGroup(log)
+        self._directory = directory.Directory(
+            dialect.decode_endpoint, self._clock, log
+        )
+        self._directory.on_change = self._wake
+        self._endpoints = following.Follower(
+            store,
+            dialect.kinds.endpoints,
+            self._apply_endpoints,
+            self._clock,
+            log,
+        )
+        self._routes = routetable.RouteKeeper(dialect, log)
+        self._pool = connections.ConnectionPool()
+        self._ledger = ledger.Ledger(store)
+        self._lease = lease.LeaseKeeper(
+            settings.name,
+            store,
+            settings.lease,
+            self._clock,
+            log,
+            address=settings.listen,
+        )
+        self._owner = None
+        self._orders = None
+        self._retiring = set()
+        self._stopping = False
+
+    async def start(self):
+        """Listen, follow the store and contend for the lease."""
+        kinds = self._dialect.kinds
+        routes = following.Follower(
+            self._store, kinds.routes, self._apply_routes, self._clock,
+            self._log,
+        )
+        retirements = following.Follower(
+            self._store,
+            kinds.retirements,
+            self._apply_retirements,
+            self._clock,
+            self._log,
+        )
+        self._tasks.keep(routes.run, 'routes')
+        self._tasks.keep(self._endpoints.run, 'endpoints')
+        self._tasks.keep(retirements.run, 'retirements')
+        self._tasks.keep(self._contend, 'lease')
+        self._tasks.keep(self._lead, 'lead')
+        self._tasks.keep(self._sweep, 'sweep')
+        self._tasks.keep(self._complete_retirements, 'retire')
+        await frames.start_server(
+            frames.parse_address(self._settings.listen), self._serve_peer
+        )
+        self._log.info('keeper started', zone=self._settings.zone)
+
+    def reload(self, settings):
+        """Take new settings; addresses change at the next start only."""
+        self._settings = settings
+        self._log.info('settings reloaded')
+
+    async def stop(self):
+        """Hand the lease on and stop."""
+        self._stopping = True
+        self._log.info('keeper stopping', leads=self._owner is not None)
+        await self._resign()
+        await self._tasks.stop()
+        self._log.info('keeper stopped')
+
+    def _wake(self):
+        if self._owner is not None:
+            self._owner.wake()
+        if self._orders is not None:
+            self._orders.wakeup.set()
+
+    def _apply_endpoints(self, objects, removed, whole):
+        was_out = self._endpoints.was_out(directory.RETURN_S)
+        self._directory.apply(objects, removed, whole, was_out)
+
+    def _apply_routes(self, objects, removed, whole):
+        if self._routes.apply(objects):
+            self._wake()
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._directory.drop_doubtful()
+            self._pool.close_idle(self._directory.endpoints)
+
+    # Leading.
+
+    async def _contend(self):
+        # Contenders that start together should not all write at once.
+        await asyncio.sleep(random.random() * 0.3)
+        await self._lease.run()
+
+    async def _resign(self):
+        await self._stop_leading('resigned')
+        await self._lease.release()
+
+    def _may_lead(self):
+        return self._lease.holds() and not self._stopping
+
+    async def _lead(self):
+        try:
+            while True:
+                leads = self._may_lead()
+                if leads and self._owner is None:
+                    self._start_leading()
+                elif not leads and self._owner is not None:
+                    await self._stop_leading('the lease is not held')
+                await asyncio.sleep(LEAD_CHECK_S)
+        finally:
+            await self._stop_leading('the task ended')
+
+    def _start_leading(self):
+        owner = stepowner.StepOwner(
+            self._ledger,
+            self._directory,
+            self._pool,
+            self._dialect,
+            lambda: self._routes.table,
+            self._may_lead,
+            self._log,
+            self._settings.retain_s,
+        )
+        orders = versions.VersionKeeper(
+            self._settings.name,
+            self._directory,
+            self._pool,
+            self._dialect,
+            self._lease,
+            lambda: self._routes.table,
+            self._needs_whole,
+            self._wake,
+            self._lease.quiet_s,
+            self._log,
+        )
+        submissions = following.Follower(
+            self._store,
+            ledger.SUBMISSIONS_KIND,
+            owner.apply,
+            self._clock,
+            self._log,
+        )
+        named = following.Follower(
+            self._store,
+            self._dialect.kinds.versions,
+            orders.apply_named,
+            self._clock,
+            self._log,
+        )
+        self._owner = owner
+        self._orders = orders
+        self._leading = [
+            self._tasks.keep(submissions.run, 'submissions'),
+            self._tasks.keep(named.run, 'versions'),
+            self._tasks.keep(owner.run, 'steps'),
+            self._tasks.keep(orders.run, 'orders'),
+        ]
+        self._log.info('leading', fence=self._lease.fence)
+
+    async def _stop_leading(self, reason):
+        owner, self._owner = self._owner, None
+        if owner is None:
+            return
+        self._orders = None
+        for task in self._leading:
+            task.cancel()
+        await owner.stop()
+        for state in self._directory.endpoints.values():
+            state.changing.clear()
+        self._log.info('not leading', reason=reason)
+
+    def _needs_whole(self, model):
+        """Whether one version must make each result of a model now."""
+        table = self._routes.table
+        for entry in self._owner.open.values() if self._owner else ():
+            if entry.ended or entry.submission.model != model:
+                continue
+            route = table.find(entry.submission.route) if table else None
+            if route is not None and route.single_version:
+                return True
+        return False
+
+    # Answering gateways.
+
+    async def _serve_peer(self, stream):
+        await asking.serve_questions(
+            stream, questions.Question, self._answer
+        )
+
+    async def _answer(self, question):
+        owner = self._owner
+        if owner is None or not owner.known or not self._may_lead():
+            return questions.NotLeading(self._lease.known_holder)
+        try:
+            if isinstance(question, questions.ReadResults):
+                page = await owner.read(
+                    question.submission_id, question.after, question.wait_s
+                )
+                # An owner that lost the lease meanwhile may be behind.
+                if not self._may_lead():
+                    return questions.NotLeading()
+                if page is None:
+                    return questions.Unknown()
+                return questions.PageAnswer(page)
+            known, body = await owner.read_body(
+                question.submission_id, question.item_id
+            )
+        except errors.PlatformError as error:
+            return questions.NotLeading(str(error))
+        if not self._may_lead():
+            return questions.NotLeading()
+        if not known:
+            return questions.Unknown()
+        return questions.BodyAnswer(body)
+
+    # VMs that are to be emptied.
+
+    def _apply_retirements(self, objects, removed, whole):
+        for found in objects:
+            status = found.status or {}
+            if status != self._dialect.encode_retirement(completed=True):
+                self._retiring.add(found.name)
+        self._retiring.difference_update(removed)
+
+    async def _complete_retirements(self):
+        """Release VMs: all that lasts is in the platform's store."""
+        while True:
+            await asyncio.sleep(RETIREMENT_RETRY_S)
+            if self._settings.name in self._retiring and self._may_lead():
+                self._log.info('this vm is to be emptied')
+                await self._resign()
+            if not self._may_lead():
+                continue
+            for name in sorted(self._retiring):
+                try:
+                    await self._store.write_status(
+                        self._dialect.kinds.retirements,
+                        name,
+                        self._dialect.encode_retirement(completed=True),
+                    )
+                except errors.PlatformError as error:
+                    self._log.info('retirement not written', e=str(error))
+                    continue
+                self._retiring.discard(name)
+                self._log.info('vm released', vm=name)
--- a/src/clementineline/daemons/logs.py
+++ b/src/clementineline/daemons/logs.py
@@ -1,25 +1,77 @@
-"""Structured logs: one JSON line for each event, on standard error."""
+"""Structured logs: one JSON line for each event, never waiting for a reader."""
 
+import collections
 import logging
+import os
 import sys
 
 import msgspec
 import structlog
 
-__all__ = ['configure_logs']
+__all__ = ['BoundedWriter', 'configure_logs', 'configure_output']
+
+# Lines that wait for a slow reader; what comes beyond is counted and dropped.
+BUFFER_BYTES_MAX = 512 * 1024
 
 
 def _render(logger, name, event):
     return msgspec.json.encode(event, enc_hook=str).decode()
 
 
-def configure_logs(process, level='info'):
-    """Configure structlog for a process.
+class BoundedWriter:
+    """Writes lines to a descriptor without waiting for its reader.
 
-    :param process: the process's name, in each line
-    :param level: lowest level that is written
-    :returns: the process's logger
+    :param descriptor: file descriptor; it is made non-blocking
     """
+
+    __slots__ = ('_descriptor', '_lines', '_size', 'dropped')
+
+    def __init__(self, descriptor):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines = collections.deque()
+        self._size = 0
+        self.dropped = 0
+
+    def write_line(self, text):
+        """Write a line, or keep it until the reader takes more."""
+        line = text.encode() + b'\n'
+        if self._size + len(line) > BUFFER_BYTES_MAX:
+            self.dropped += 1
+            self._flush()
+            return
+        if self.dropped and not self._lines:
+            note = b'{"event":"log lines dropped","count":%d}\n' % self.dropped
+            self.dropped = 0
+            self._append(note)
+        self._append(line)
+        self._flush()
+
+    def _append(self, line):
+        self._lines.append(line)
+        self._size += len(line)
+
+    def _flush(self):
+        while self._lines:
+            line = self._lines[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except OSError:
+                # The reader is slow or gone; the lines are kept up to the
+                # limit, and then counted.
+                return
+            self._size -= written
+            if written < len(line):
+                self._lines[0] = line[written:]
+                return
+            self._lines.popleft()
+
+    # The methods that structlog calls.
+    info = debug = warning = error = critical = exception = write_line
+    msg = write_line
+
+
+def _configure(level, logger_factory):
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -30,7 +82,29 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=logger_factory,
         cache_logger_on_first_use=True,
     )
+
+
+def configure_logs(process, level='info'):
+    """Configure logs on standard error for a process.
+
+    :param process: the process's name, in each line
+    :param level: lowest level that is written
+    :returns: the process's logger
+    """
+    _configure(level, structlog.PrintLoggerFactory(sys.stderr))
+    return structlog.get_logger().bind(process=process)
+
+
+def configure_output(process, level='info'):
+    """Configure logs on standard output that never wait for their reader.
+
+    :param process: the process's name, in each line
+    :param level: lowest level that is written
+    :returns: the process's logger
+    """
+    writer = BoundedWriter(sys.stdout.fileno())
+    _configure(level, lambda *args: writer)
     return structlog.get_logger().bind(process=process)
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -6,6 +6,7 @@
     'ConnectionLost',
     'CursorError',
     'FrameTooLarge',
+    'HistoryGone',
     'IntentError',
     'LostStep',
     'MalformedFrame',
@@ -62,6 +63,10 @@
     """A conditional write found another version than expected."""
 
 
+class HistoryGone(PlatformError):
+    """A watch asked for changes that the store no longer knows."""
+
+
 class IntentError(ClementinelineError):
     """An intent has an unknown key, a wrong type or an impossible value."""
 
--- /dev/null
+++ b/src/clementineline/platform/calls.py
@@ -0,0 +1,125 @@
+"""Headers of callers' requests, of requests to servers, and of responses."""
+
+from clementineline.state import dialect
+from clementineline.transport import http
+
+__all__ = [
+    'build_call',
+    'build_item_call',
+    'build_retry_headers',
+    'read_call',
+    'read_reply',
+]
+
+VERSION_LINE = b'weight-versions'
+# Headers that the system sets itself; a caller's copy is not passed on.
+_OWN_HEADERS = frozenset((
+    b'expect-instance',
+    b'timeout-ms',
+    b'expect-version',
+    b'request-priority',
+    b'content-length',
+    b'host',
+    b'request-id',
+    b'last-event-id',
+))
+
+
+def _read_number(text):
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _read_integer(text):
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text)
+
+
+def read_call(head):
+    """Read what a request says of itself.
+
+    :returns: a :class:`~dialect.CallFacts`
+    """
+    request_id = http.find_header(head.headers, b'request-id') or b''
+    host = http.find_header(head.headers, b'host') or b''
+    timeout_ms = _read_number(http.find_header(head.headers, b'timeout-ms'))
+    return dialect.CallFacts(
+        request_id.decode('latin-1'),
+        host.decode('latin-1').partition(':')[0].lower(),
+        head.path.decode('latin-1'),
+        timeout_ms / 1000 if timeout_ms is not None else None,
+    )
+
+
+def build_call(head, endpoint, timeout_s):
+    """Build the request that is passed on to a server.
+
+    :param head: the caller's :class:`~http.Head`
+    :param timeout_s: what is left of the caller's time, None for no limit
+    """
+    headers = []
+    for key, value in http.strip_connection_headers(head.headers):
+        if key.lower() in (b'expect-instance', b'timeout-ms', b'expect'):
+            continue
+        headers.append((key, value))
+    if timeout_s is not None:
+        headers.append((b'Timeout-Ms', b'%d' % max(1, int(timeout_s * 1000))))
+    headers.append((b'Expect-Instance', endpoint.id.encode()))
+    return http.Head(head.method, head.target, tuple(headers))
+
+
+def build_item_call(submission, item, endpoint, resume_after):
+    """Build the request that runs an item.
+
+    :param resume_after: number of the last event that is held, 0 for none
+    """
+    headers = [
+        (b'Host', submission.host.encode('latin-1')),
+        (b'Request-Id', item.id.encode('latin-1')),
+        (b'Expect-Instance', endpoint.id.encode()),
+    ]
+    for key, value in item.headers:
+        name = key.encode('latin-1')
+        if name.lower() in _OWN_HEADERS:
+            continue
+        headers.append((name, value.encode('latin-1')))
+    if resume_after:
+        headers.append((b'Last-Event-Id', b'%d' % resume_after))
+    return http.Head(
+        b'POST', item.path.encode('latin-1'), tuple(headers)
+    )
+
+
+def read_reply(headers):
+    """Read what a server's response says beside its body.
+
+    :returns: a :class:`~dialect.ReplyFacts`
+    """
+    request_id = http.find_header(headers, b'request-id') or b''
+    running = waiting = None
+    slowness = 1.0
+    load = (http.find_header(headers, b'server-load') or b'').split(b',')
+    figures = [_read_integer(figure) for figure in load]
+    if len(figures) >= 3 and None not in figures:
+        running, waiting = figures[0], figures[1]
+        if len(figures) > 3:
+            slowness = figures[3] / 100
+    return dialect.ReplyFacts(
+        request_id.decode('latin-1'),
+        http.find_header(headers, b'not-executed') is not None,
+        http.find_header(headers, b'server-stamp') is not None,
+        running,
+        waiting,
+        slowness,
+        _read_integer(http.find_header(headers, b'weight-versions')),
+    )
+
+
+def build_retry_headers(retry_after_s):
+    """Build the headers that tell a caller when to come back."""
+    return ((b'Retry-After', b'%.3f' % retry_after_s),)
--- /dev/null
+++ b/src/clementineline/platform/dialect.py
@@ -0,0 +1,45 @@
+"""The wire's dialect, gathered for the product's processes."""
+
+from clementineline.platform import batches
+from clementineline.platform import calls
+from clementineline.platform import endpoints
+from clementineline.platform import manifest
+from clementineline.state import dialect
+
+__all__ = ['WireDialect']
+
+
+class WireDialect:
+    """Implements :class:`~clementineline.protocol.dialect.Dialect`."""
+
+    __slots__ = ()
+
+    kinds = dialect.StoreKinds(
+        routes='config',
+        routes_name='main',
+        endpoints='servers',
+        versions='versions',
+        retirements='retirements',
+    )
+    version_line = calls.VERSION_LINE
+    ready_path = b'/api/ready'
+    decode_routes = staticmethod(manifest.decode_manifest)
+    decode_endpoint = staticmethod(endpoints.decode_endpoint)
+    decode_named_version = staticmethod(endpoints.decode_named_version)
+    read_call = staticmethod(calls.read_call)
+    read_reply = staticmethod(calls.read_reply)
+    read_batch_call = staticmethod(batches.read_batch_call)
+    decode_submission = staticmethod(batches.decode_submission)
+    encode_page = staticmethod(batches.encode_page)
+    build_call = staticmethod(calls.build_call)
+    build_item_call = staticmethod(calls.build_item_call)
+    build_report_call = staticmethod(endpoints.build_report_call)
+    decode_report = staticmethod(endpoints.decode_report)
+    build_order_call = staticmethod(endpoints.build_order_call)
+    read_order_status = staticmethod(endpoints.read_order_status)
+    build_retry_headers = staticmethod(calls.build_retry_headers)
+
+    @staticmethod
+    def encode_retirement(completed):
+        """Encode the status of a VM that is being emptied."""
+        return {'state': 'completed' if completed else 'running'}
--- /dev/null
+++ b/src/clementineline/platform/endpoints.py
@@ -0,0 +1,159 @@
+"""Entries that servers write, engines' reports, and orders to engines."""
+
+import msgspec
+
+from clementineline import errors
+from clementineline.state import dialect
+from clementineline.state import directory
+from clementineline.transport import frames
+from clementineline.transport import http
+
+__all__ = [
+    'build_order_call',
+    'build_report_call',
+    'decode_endpoint',
+    'decode_named_version',
+    'decode_report',
+    'read_order_status',
+]
+
+_ORDER_OUTCOMES = {
+    200: dialect.OrderOutcome.HOLDS,
+    202: dialect.OrderOutcome.ACCEPTED,
+    409: dialect.OrderOutcome.BUSY,
+    412: dialect.OrderOutcome.FENCED,
+    421: dialect.OrderOutcome.ANOTHER_ENDPOINT,
+}
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Entry(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_ms: float = 0.0
+    models: list[_Model] = []
+    born: int = 0
+
+
+class _Report(msgspec.Struct, rename='camel'):
+    models: list[_Model]
+    busy: bool
+    # The number of orders accepted, not a number of this report.
+    seq: int
+    num_waiting: int = 0
+    num_running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+
+
+class _NamedVersion(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_endpoint(name, value):
+    """Decode a server's entry.
+
+    :returns: an :class:`~directory.EndpointRecord`; None if another writer
+        left it or it names no server to use
+    """
+    try:
+        entry = msgspec.convert(value, _Entry)
+        frames.parse_address(entry.address)
+    except (msgspec.ValidationError, errors.SettingsError):
+        return None
+    if entry.state not in ('ready', 'draining') or entry.slots <= 0:
+        return None
+    return directory.EndpointRecord(
+        id=name,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        leaving=entry.state == 'draining',
+        cold_s=entry.cold_left_ms / 1000,
+        versions={model.name: model.version for model in entry.models},
+        born_ms=entry.born,
+    )
+
+
+def decode_named_version(value):
+    """Decode the version that a trainer names.
+
+    :returns: ``(model, version)``; None if it cannot be read
+    """
+    try:
+        named = msgspec.convert(value, _NamedVersion)
+    except msgspec.ValidationError:
+        return None
+    return named.model, named.version
+
+
+def _address_headers(endpoint):
+    return (
+        (b'Host', endpoint.address.encode()),
+        (b'Expect-Instance', endpoint.id.encode()),
+    )
+
+
+def build_report_call(endpoint):
+    """Build the request for an engine's report."""
+    return http.Head(b'GET', b'/api/report', _address_headers(endpoint))
+
+
+def decode_report(body):
+    """Decode an engine's report.
+
+    :raises errors.ProtocolError: if it is none
+    """
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except msgspec.DecodeError as error:
+        raise errors.ProtocolError(f'report: {error}') from error
+    return directory.EngineReport(
+        versions={model.name: model.version for model in report.models},
+        changing=report.busy,
+        orders_accepted=report.seq,
+        running=report.num_running,
+        waiting=report.num_waiting,
+        memory_used=report.kv_used,
+        memory_total=report.kv_total,
+    )
+
+
+def build_order_call(order, endpoint):
+    """Build the request that carries an order.
+
+    :returns: ``(head, body)``
+    """
+    body = {
+        'operation': 'version',
+        'model': order.model,
+        'version': order.version,
+        'mode': 'keep' if order.keep_running else 'wait',
+        'holder': order.holder,
+        'fencingToken': order.fence,
+        # The count of accepted orders that must still hold there.
+        'expected': order.orders_accepted,
+    }
+    head = http.Head(
+        b'POST',
+        b'/api/order',
+        (
+            *_address_headers(endpoint),
+            (b'Content-Type', b'application/json'),
+        ),
+    )
+    return head, msgspec.json.encode(body)
+
+
+def read_order_status(status):
+    """Return the :class:`~dialect.OrderOutcome` of an order's response."""
+    return _ORDER_OUTCOMES.get(status, dialect.OrderOutcome.REFUSED)
--- /dev/null
+++ b/src/clementineline/platform/manifest.py
@@ -0,0 +1,125 @@
+"""The operator's manifest, as the product's route table."""
+
+import msgspec
+
+from clementineline import errors
+from clementineline.state import routes
+
+__all__ = ['decode_manifest']
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    max_attempts: int = 1
+    priority: int = 5
+    service: str = ''
+    traffic_split: list[_Split] = []
+    resumable: bool = False
+    max_queue_s: float = msgspec.field(default=0.0, name='maxQueueS')
+    result_due_ms: float = 0.0
+    single_version: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def _decode_route(route):
+    if route.traffic_split:
+        targets = tuple(
+            routes.Target(part.service, part.weight)
+            for part in route.traffic_split
+        )
+    else:
+        targets = (routes.Target(route.service, 1.0),)
+    return routes.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        # A resumable stream and an item may run again elsewhere.
+        idempotent=route.kind in ('safe', 'rollout'),
+        streamed=route.kind == 'stream',
+        resumable=route.resumable,
+        batch=route.kind == 'rollout',
+        timeout_s=route.timeout_ms / 1000,
+        aim_s=route.target_latency_ms / 1000,
+        priority=route.priority,
+        attempts_max=max(1, route.max_attempts),
+        targets=targets,
+        queue_s=route.max_queue_s,
+        due_s=route.result_due_ms / 1000,
+        single_version=route.single_version,
+    )
+
+
+def _decode_service(service):
+    engine = service.engine or _Engine()
+    return routes.ServiceTarget(
+        service.name,
+        service.max_conns,
+        tuple(model.name for model in engine.models),
+        engine.slots,
+    )
+
+
+def decode_manifest(value):
+    """Decode the manifest.
+
+    :param value: spec of the object that the operator writes
+    :returns: the :class:`~routes.RouteTable`
+    :raises errors.PlatformError: if it is no manifest
+    """
+    try:
+        manifest = msgspec.convert(value, _Manifest)
+    except msgspec.ValidationError as error:
+        raise errors.PlatformError(f'manifest: {error}') from error
+    limits = manifest.limits
+    return routes.RouteTable(
+        manifest.version,
+        tuple(_decode_route(route) for route in manifest.routes),
+        {
+            service.name: _decode_service(service)
+            for service in manifest.services
+        },
+        routes.TrafficLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+    )
--- a/src/clementineline/state/platform.py
+++ b/src/clementineline/state/platform.py
@@ -14,40 +14,14 @@
 
 from clementineline import clocks
 from clementineline import errors
+from clementineline.state.objects import ObjectPage
+from clementineline.state.objects import PlatformObject
 
 __all__ = ['ObjectPage', 'PlatformClient', 'PlatformObject', 'RateBudget']
 
 WRITE_IDS_KEPT = 32
 
 
-class PlatformObject(msgspec.Struct, frozen=True):
-    """An object of the platform.
-
-    :param kind: kind of the object
-    :param name: name within the kind
-    :param version: grows with each write
-    :param value: the JSON value
-    """
-
-    kind: str
-    name: str
-    version: int
-    value: dict
-
-
-class ObjectPage(msgspec.Struct, frozen=True):
-    """Objects of a kind that changed after a version.
-
-    :param version: version to continue from
-    :param objects: changed objects
-    :param removed: names of removed objects
-    """
-
-    version: int
-    objects: list[PlatformObject]
-    removed: list[str]
-
-
 class RateBudget:
     """Limits the calls of a process: waits, and never bursts after a pause.
 
@@ -102,9 +76,11 @@
         self.available = True
         self.calls = 0
 
-    async def read(self, kind, name):
+    async def read(self, kind, name, stale=False):
         """Read an object.
 
+        :param stale: whether an answer that is seconds old will do; this
+            platform has none
         :returns: the :class:`PlatformObject`, or None if there is none
         :raises errors.PlatformUnavailable: if the platform does not answer
         """
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -14,6 +14,9 @@
 
 __all__ = [
     'EntrySettings',
+    'GatewaySettings',
+    'KeeperSettings',
+    'LeaseSettings',
     'PolicySettings',
     'SidecarSettings',
     'load_settings',
@@ -93,10 +96,14 @@
 
 
 class LeaseSettings(_Settings):
-    """Times of the leader's lease, in seconds."""
+    """Times of the leader's lease, in seconds.
+
+    :param quiet_s: how long a new holder sends no orders after another one
+    """
 
     duration_s: Positive = 4.0
     renew_s: Positive = 1.0
+    quiet_s: NotNegative = 0.0
 
 
 class EntrySettings(_Settings):
@@ -194,6 +201,48 @@
     links: LinkSettings = LinkSettings()
 
 
+class GatewaySettings(_Settings):
+    """Settings of a gateway.
+
+    :param name: unique name of the process
+    :param zone: availability zone
+    :param http: ``HOST:PORT`` for callers and trainers
+    :param ready: ``HOST:PORT`` for the balancer's probes
+    :param store: ``HOST:PORT`` of the platform's store
+    :param grace_s: time between the stop signal and the kill
+    :param metrics: ``HOST:PORT`` for metrics, empty for none
+    """
+
+    name: Name
+    zone: Name
+    http: str
+    ready: str
+    store: str
+    grace_s: Positive = 8.0
+    metrics: str = ''
+
+
+class KeeperSettings(_Settings):
+    """Settings of a keeper.
+
+    :param name: unique name of the VM
+    :param zone: availability zone
+    :param listen: ``HOST:PORT`` for gateways
+    :param store: ``HOST:PORT`` of the platform's store
+    :param retain_s: how long a submission is kept after it was accepted
+    :param lease: times of the leader's lease
+    :param metrics: ``HOST:PORT`` for metrics, empty for none
+    """
+
+    name: Name
+    zone: Name
+    listen: str
+    store: str
+    retain_s: Positive = 180.0
+    lease: LeaseSettings = LeaseSettings()
+    metrics: str = ''
+
+
 def _check_addresses(value, where):
     for field in ('listen', 'http'):
         try:
--- /dev/null
+++ b/src/clementineline/transport/events.py
@@ -0,0 +1,69 @@
+"""Reading a stream of server-sent events as it arrives."""
+
+import dataclasses
+
+from clementineline import errors
+
+__all__ = ['Event', 'EventReader']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One whole event.
+
+    :param number: its id
+    :param fields: other fields by name, bytes
+    """
+
+    number: int
+    data: str
+    fields: dict
+
+
+class EventReader:
+    """Splits a stream into events; an event without its end is left out."""
+
+    __slots__ = ('_partial',)
+
+    def __init__(self):
+        self._partial = b''
+
+    @property
+    def has_partial(self):
+        """Whether the stream stands within an event."""
+        return bool(self._partial.strip())
+
+    def feed(self, data):
+        """Return the events that became whole.
+
+        :raises errors.ProtocolError: if an event has no proper id
+        """
+        buffered = (self._partial + data).replace(b'\r\n', b'\n')
+        *blocks, self._partial = buffered.split(b'\n\n')
+        found = []
+        for block in blocks:
+            if block.strip():
+                found.append(_parse_block(block))
+        return found
+
+
+def _parse_block(block):
+    number = None
+    data = []
+    fields = {}
+    for line in block.split(b'\n'):
+        name, _, value = line.partition(b':')
+        value = value.removeprefix(b' ')
+        if name == b'data':
+            data.append(value)
+        elif name == b'id':
+            if not value.isdigit():
+                raise errors.ProtocolError(
+                    f'event id {value!r}: expected a number'
+                )
+            number = int(value)
+        elif name:
+            fields[name.lower()] = value
+    if number is None:
+        raise errors.ProtocolError(f'event without an id: {block[:80]!r}')
+    return Event(number, b'\n'.join(data).decode('utf-8'), fields)
--- a/src/clementineline/transport/frames.py
+++ b/src/clementineline/transport/frames.py
@@ -11,6 +11,7 @@
 import struct
 
 from clementineline import errors
+from clementineline.transport import sockets
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -81,6 +82,8 @@
     def __init__(self, reader, writer, max_bytes=MAX_FRAME_BYTES):
         self._reader = reader
         self._writer = writer
+        if writer.transport is not None:
+            sockets.set_liveness_options(writer.transport)
         self._loop = asyncio.get_running_loop()
         self._buffer = []
         self._flush_handle = None
