--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -1,16 +1,22 @@
 """The endpoints that may be used now, with what this process saw of them."""
 
+import math
+
 from clementineline.transport import frames
 
-__all__ = ['Directory', 'EndpointState']
+__all__ = ['CHANGE_PAUSE_S', 'Directory', 'EndpointState']
 
 # An entry that lapsed while the store was out is back within two seconds of
 # the store's return, if its endpoint lives.
 RETURN_S = 1.6
+# Entries change in bursts while versions load; they come in one answer.
+CHANGE_PAUSE_S = 0.3
 PENALTY_S = 0.5
 PENALTY_MAX_S = 4.0
 LOAD_TTL_S = 1.0
-PACE_WEIGHT = 0.2
+# Neighbours slow an engine for some 600 ms now and then; a pace that counts
+# lasts longer.
+PACE_MEMORY_S = 0.6
 
 
 class EndpointState:
@@ -28,9 +34,11 @@
         'item_runs',
         'load',
         'load_at',
+        'pace_at',
         'pace_s',
         'penalty_until',
         'record',
+        'slow_since',
         'slowness',
         'versions',
     )
@@ -43,11 +51,13 @@
         self.item_runs = set()
         self.load = 0
         self.load_at = -LOAD_TTL_S
+        self.slow_since = None
         self.slowness = 1.0
         self.failures = 0
         self.penalty_until = 0.0
         self.doubtful_until = None
         self.changing = set()
+        self.pace_at = 0.0
         self.pace_s = None
 
     @property
@@ -84,12 +94,15 @@
         self.load_at = now
         self.slowness = facts.slowness
 
-    def note_pace(self, event_s):
+    def note_pace(self, event_s, now):
         """Note the time that an event of a stream took, in seconds."""
         if self.pace_s is None:
             self.pace_s = event_s
-            return
-        self.pace_s += PACE_WEIGHT * (event_s - self.pace_s)
+        else:
+            weight = 1 - math.exp((self.pace_at - now) / PACE_MEMORY_S)
+            # Streams of one engine share the time since the last note.
+            self.pace_s += weight * (event_s - self.pace_s)
+        self.pace_at = now
 
     def estimate_load(self, now):
         """Return requests at the endpoint as a share of its slots."""
@@ -131,9 +144,7 @@
             named.add(record.id)
             self._apply_record(record)
         if whole:
-            removed = [
-                name for name in self.endpoints if name not in named
-            ]
+            removed = [name for name in self.endpoints if name not in named]
         for name in removed:
             if name not in named:
                 self._remove(name, was_out)
--- a/src/clementineline/coordination/leaders.py
+++ b/src/clementineline/coordination/leaders.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from clementineline import errors
 from clementineline.coordination import lease
+from clementineline import errors
 from clementineline.protocol import asking
 from clementineline.state import questions
 from clementineline.transport import frames
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -98,9 +98,7 @@
         if self.fence:
             await self._renew()
             return
-        current = await self._platform.read(
-            LEASE_KIND, LEASE_NAME, stale=True
-        )
+        current = await self._platform.read(LEASE_KIND, LEASE_NAME, stale=True)
         now = self._clock.now()
         version = current.version if current else 0
         if current is not None:
--- a/src/clementineline/coordination/ledger.py
+++ b/src/clementineline/coordination/ledger.py
@@ -79,9 +79,7 @@
 
         :returns: ``(submission, ended)``; None if there is none
         """
-        found = await self._store.read(
-            SUBMISSIONS_KIND, _quote(submission_id)
-        )
+        found = await self._store.read(SUBMISSIONS_KIND, _quote(submission_id))
         if found is None:
             return None
         return decode_submission_object(found)
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -8,15 +8,24 @@
 import math
 
 __all__ = [
+    'ModelDemand',
     'assign_models',
+    'can_run',
     'choose_engine',
-    'find_straggler_move',
+    'choose_loads',
+    'has_faster_engine',
+    'note_slow_engines',
     'order_waiting',
 ]
 
 # An engine this much slower than the best free one loses its runs to it: the
 # prompt is read anew within a few steps of the engine.
 SLOW_FACTOR = 1.8
+SLOW_PATIENCE_S = 0.5
+# Loads take longer while more than two engines load, on both sites' sheets.
+LOADS_AT_ONCE = 2
+# Trainers submit a step within a second of naming its version, as a rule.
+LOAD_PATIENCE_S = 1.5
 
 
 def choose_engine(candidates, model, version_min, now, excluded=()):
@@ -54,9 +63,13 @@
     return state.versions.get(model, 0) >= version_min
 
 
-def find_straggler_move(state, candidates, model, version_min, now):
-    """Return whether a run on an engine should go on at a faster one."""
-    if not state.pace_s:
+def has_faster_engine(state, candidates, model, version_min, now):
+    """Return whether a run on an engine would go on faster elsewhere.
+
+    Only an engine that has been slow for a while loses its runs: reading
+    several prompts at once, and busy neighbours, pass.
+    """
+    if state.slow_since is None or now - state.slow_since < SLOW_PATIENCE_S:
         return False
     for other in candidates:
         if other is state or not other.pace_s:
@@ -72,6 +85,24 @@
     return False
 
 
+def note_slow_engines(engines, now):
+    """Note since when each engine has been slower than the typical one."""
+    paces = sorted(state.pace_s for state in engines if state.pace_s)
+    if not paces:
+        return
+    typical = paces[(len(paces) - 1) // 2]
+    for state in engines:
+        slow = (
+            bool(state.item_runs)
+            and state.pace_s is not None
+            and state.pace_s > typical * SLOW_FACTOR
+        )
+        if not slow:
+            state.slow_since = None
+        elif state.slow_since is None:
+            state.slow_since = now
+
+
 def order_waiting(runs):
     """Order the waiting items of a submission.
 
@@ -116,6 +147,64 @@
     return _balance(assignment, counts, models)
 
 
+def choose_loads(engines, named, demand, named_age_s, loading):
+    """Choose the engines that load a model's named version now.
+
+    A load stops new starts on its engine for about a second, so an engine
+    that may still run what is open loads only once all of it has started.
+
+    :param engines: :class:`~directory.EndpointState` assigned to the model,
+        without those that load already
+    :param named: the newest version, with its model
+    :param demand: the :class:`ModelDemand` of the model
+    :param named_age_s: how long ago the version was named
+    :param loading: number of engines that load now
+    :returns: list of engines
+    """
+    model, version = named
+    behind = []
+    for state in engines:
+        held = state.versions.get(model, 0)
+        if held >= version:
+            continue
+        urgent = held < demand.version_min
+        if not urgent and not _is_lull(demand, version, named_age_s):
+            continue
+        behind.append((not urgent, len(state.item_runs), state.id, state))
+    behind.sort(key=lambda entry: entry[:3])
+    chosen = []
+    for not_urgent, _, _, state in behind:
+        if not_urgent and loading + len(chosen) >= LOADS_AT_ONCE:
+            break
+        chosen.append(state)
+    return chosen
+
+
+def _is_lull(demand, version, named_age_s):
+    if demand.waiting:
+        return False
+    # The step that is submitted for this version has started.
+    if demand.version_newest >= version - 1:
+        return True
+    return named_age_s > LOAD_PATIENCE_S
+
+
+class ModelDemand:
+    """What open submissions ask of a model.
+
+    :param waiting: items that wait for an engine
+    :param version_min: oldest version that all unfinished items accept
+    :param version_newest: largest ``version_min`` of an open submission
+    """
+
+    __slots__ = ('version_min', 'version_newest', 'waiting')
+
+    def __init__(self, waiting=0, version_min=0, version_newest=0):
+        self.waiting = waiting
+        self.version_min = version_min
+        self.version_newest = version_newest
+
+
 def _balance(assignment, counts, models):
     """Move engines from models with two more than another one has."""
     while models:
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -9,18 +9,19 @@
 import time
 import zlib
 
-from clementineline import errors
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
 from clementineline.coordination import placement
+from clementineline import errors
 from clementineline.state import submissions
 
 __all__ = ['OpenSubmission', 'StepOwner']
 
 TICK_S = 0.1
-# Results that end within this time share a chunk, and its two store calls.
-APPEND_PAUSE_S = 0.08
+# Results wait for others to share a chunk, unless the trainer waits for just
+# them; trainers read about twice a second.
+APPEND_INTERVAL_S = 0.45
 APPEND_RETRY_S = 0.2
 CHUNK_BYTES_MAX = 700_000
 PAGE_BYTES_MAX = 900_000
@@ -41,6 +42,7 @@
     __slots__ = (
         'changed',
         'chunk_count',
+        'due',
         'ended',
         'finished',
         'loaded',
@@ -65,8 +67,15 @@
         self.runs = {}
         self.waiting = []
         self.changed = asyncio.Event()
+        self.due = asyncio.Event()
         self.writer = None
 
+    def count_whole_groups(self):
+        """Return how many groups have all their results."""
+        broken = {run.item.group for run in self.runs.values()}
+        groups = {item.group for item in self.submission.items}
+        return len(groups - broken)
+
     @property
     def complete(self):
         """Whether each item has its position."""
@@ -210,6 +219,7 @@
             entry.runs[item.id] = run
             if run.whole:
                 entry.finished[item.id] = run.build_result()
+                entry.runs.pop(item.id)
             else:
                 entry.waiting.append(run)
         carried = {
@@ -253,6 +263,31 @@
         route = table.find(submission.route) if table else None
         return route is not None and route.single_version
 
+    def needs_whole(self, model):
+        """Return whether one version must make each result of a model."""
+        for entry in self.open.values():
+            if entry.ended or entry.submission.model != model:
+                continue
+            if self._is_single_version(entry.submission):
+                return True
+        return False
+
+    def measure_demand(self, model):
+        """Return the :class:`~placement.ModelDemand` of a model."""
+        demand = placement.ModelDemand()
+        for entry in self.open.values():
+            submission = entry.submission
+            if entry.ended or submission.model != model:
+                continue
+            newest = max(demand.version_newest, submission.version_min)
+            demand.version_newest = newest
+            if not entry.waiting and entry.loaded:
+                continue
+            demand.waiting += len(entry.waiting) or 1
+            needed = max(demand.version_min, submission.version_min)
+            demand.version_min = needed
+        return demand
+
     def _end(self, entry):
         entry.ended = True
         for run in entry.runs.values():
@@ -421,8 +456,11 @@
         entry.waiting.insert(0, run)
 
     def _finish(self, entry, result):
+        first = not entry.finished
         entry.finished[result.item_id] = result
         entry.runs.pop(result.item_id, None)
+        if first or self._is_urgent(entry):
+            entry.due.set()
 
     def _abandon(self, entry, run, reason):
         self._log.warning(
@@ -476,6 +514,11 @@
 
     def _move_stragglers(self):
         now = asyncio.get_running_loop().time()
+        services = collections.defaultdict(list)
+        for state in self._directory.endpoints.values():
+            services[state.record.service].append(state)
+        for engines in services.values():
+            placement.note_slow_engines(engines, now)
         for entry in self.open.values():
             if entry.ended or entry.waiting:
                 continue
@@ -484,7 +527,7 @@
                 if run.task is None or run.moving or run.moves >= MOVES_MAX:
                     continue
                 engines = self._list_engines(submission, run.item.id)
-                if not placement.find_straggler_move(
+                if not placement.has_faster_engine(
                     run.state,
                     engines,
                     submission.model,
@@ -508,13 +551,31 @@
 
     async def _write_results(self, entry):
         while not entry.complete:
+            entry.due.clear()
+            if not entry.finished:
+                await entry.due.wait()
+            if not self._is_urgent(entry):
+                entry.due.clear()
+                try:
+                    async with asyncio.timeout(APPEND_INTERVAL_S):
+                        await entry.due.wait()
+                except TimeoutError:
+                    pass
             if not entry.finished:
-                await asyncio.sleep(APPEND_PAUSE_S)
-                continue
-            await asyncio.sleep(APPEND_PAUSE_S)
-            if not self._may_lead():
                 continue
-            await self._append(entry)
+            if self._may_lead():
+                await self._append(entry)
+            else:
+                await asyncio.sleep(APPEND_RETRY_S)
+
+    def _is_urgent(self, entry):
+        """Whether what has finished gives the trainer all it waits for."""
+        if not entry.finished:
+            return False
+        return (
+            not entry.runs
+            or entry.count_whole_groups() >= entry.submission.groups_wanted
+        )
 
     async def _append(self, entry):
         submission_id = entry.submission.id
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -6,8 +6,8 @@
 
 import asyncio
 
-from clementineline import errors
 from clementineline.coordination import placement
+from clementineline import errors
 from clementineline.protocol import links
 from clementineline.state import dialect as dialects
 
@@ -32,6 +32,8 @@
     :param get_routes: function that returns the route table in force
     :param needs_whole: function from a model to whether one version must
         make each result
+    :param get_demand: function from a model to the
+        :class:`~placement.ModelDemand` of open submissions
     :param on_change: called when an engine's version changed
     :param quiet_s: wait after another holder's last possible order
     :param log: logger
@@ -41,10 +43,12 @@
         '_assignment',
         '_dialect',
         '_directory',
+        '_get_demand',
         '_get_routes',
         '_holder',
         '_lease',
         '_log',
+        '_named_at',
         '_needs_whole',
         '_on_change',
         '_pool',
@@ -63,6 +67,7 @@
         lease,
         get_routes,
         needs_whole,
+        get_demand,
         on_change,
         quiet_s,
         log,
@@ -70,6 +75,7 @@
         self._assignment = {}
         self._dialect = dialect
         self._directory = directory
+        self._get_demand = get_demand
         self._get_routes = get_routes
         self._holder = holder
         self._lease = lease
@@ -79,11 +85,13 @@
         self._pool = pool
         self._quiet_s = quiet_s
         self._tasks = {}
+        self._named_at = {}
         self.named = {}
         self.wakeup = asyncio.Event()
 
     def apply_named(self, objects, removed, whole):
         """Take the versions that trainers have named."""
+        now = asyncio.get_running_loop().time()
         for found in objects:
             named = self._dialect.decode_named_version(found.value)
             if named is None:
@@ -92,6 +100,7 @@
             model, version = named
             if version > self.named.get(model, 0):
                 self.named[model] = version
+                self._named_at[model] = now
                 self._log.info('version named', model=model, version=version)
         self.wakeup.set()
 
@@ -117,35 +126,54 @@
         if table is None:
             return
         for service in table.services.values():
-            models = [name for name in service.models if name in self.named]
-            if not service.models:
+            if service.models:
+                self._start_service_orders(service)
+
+    def _start_service_orders(self, service):
+        engines = {}
+        for state in self._directory.list_usable(service.name):
+            engines[state.id] = state
+        assignment = self._assign(service, engines)
+        now = asyncio.get_running_loop().time()
+        for model in service.models:
+            if model not in self.named:
                 continue
-            engines = {}
-            for state in self._directory.list_usable(service.name):
-                engines[state.id] = state
-            assignment = placement.assign_models(
-                list(service.models),
-                {name: state.versions for name, state in engines.items()},
-                self._assignment.get(service.name, {}),
+            behind = []
+            for name, assigned in assignment.items():
+                if assigned == model and name not in self._tasks:
+                    behind.append(engines[name])
+            chosen = placement.choose_loads(
+                behind,
+                (model, self.named[model]),
+                self._get_demand(model),
+                now - self._named_at[model],
+                len(self._tasks),
             )
-            if assignment != self._assignment.get(service.name):
-                self._log.info(
-                    'models assigned',
-                    service=service.name,
-                    assignment=assignment,
-                )
-            self._assignment[service.name] = assignment
-            for name, model in assignment.items():
-                if model not in models or name in self._tasks:
-                    continue
-                state = engines[name]
-                if state.versions.get(model, 0) >= self.named[model]:
-                    continue
-                task = asyncio.create_task(self._bring(state, model))
-                self._tasks[name] = task
-                task.add_done_callback(
-                    lambda task, name=name: self._note_end(name, task)
-                )
+            for state in chosen:
+                self._start_order(state, model)
+
+    def _assign(self, service, engines):
+        earlier = self._assignment.get(service.name, {})
+        assignment = placement.assign_models(
+            list(service.models),
+            {name: state.versions for name, state in engines.items()},
+            earlier,
+        )
+        if assignment != earlier:
+            self._log.info(
+                'models assigned',
+                service=service.name,
+                assignment=assignment,
+            )
+        self._assignment[service.name] = assignment
+        return assignment
+
+    def _start_order(self, state, model):
+        task = asyncio.create_task(self._bring(state, model))
+        self._tasks[state.id] = task
+        task.add_done_callback(
+            lambda task, name=state.id: self._note_end(name, task)
+        )
 
     def _note_end(self, name, task):
         self._tasks.pop(name, None)
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -6,7 +6,6 @@
 import time
 
 from clementineline import clocks
-from clementineline import errors
 from clementineline.coordination import connections
 from clementineline.coordination import directory
 from clementineline.coordination import following
@@ -16,6 +15,7 @@
 from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
 from clementineline.daemons import tasks
+from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.state import dialect as dialects
 from clementineline.state import questions
@@ -25,8 +25,6 @@
 __all__ = ['Gateway']
 
 SWEEP_INTERVAL_S = 1.0
-# Entries change in bursts while versions load; they come in one answer.
-DIRECTORY_PAUSE_S = 0.3
 # Two probes a second apart take a gateway out of the balancer's rotation.
 ROTATION_S = 3.2
 # Kept of the time between the stop signal and the kill.
@@ -65,7 +63,7 @@
             self._apply_endpoints,
             self._clock,
             log,
-            DIRECTORY_PAUSE_S,
+            directory.CHANGE_PAUSE_S,
         )
         self._routes = routetable.RouteKeeper(dialect, log)
         self._routes_follower = following.Follower(
@@ -82,9 +80,7 @@
         self._ledger = ledger.Ledger(store)
         self._leaders = leaders.LeaderFinder(store, log)
         self._ended = collections.OrderedDict()
-        self._server = http.Server(
-            self._handle, http.ServerLimits(), log
-        )
+        self._server = http.Server(self._handle, http.ServerLimits(), log)
         self._ready_server = http.Server(
             self._handle_ready, http.ServerLimits(), log
         )
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -4,7 +4,6 @@
 import random
 
 from clementineline import clocks
-from clementineline import errors
 from clementineline.coordination import connections
 from clementineline.coordination import directory
 from clementineline.coordination import following
@@ -14,6 +13,7 @@
 from clementineline.coordination import stepowner
 from clementineline.coordination import versions
 from clementineline.daemons import tasks
+from clementineline import errors
 from clementineline.protocol import asking
 from clementineline.state import questions
 from clementineline.transport import frames
@@ -22,6 +22,7 @@
 
 LEAD_CHECK_S = 0.05
 SWEEP_INTERVAL_S = 1.0
+SUBMISSIONS_WAIT_S = 1.5
 RETIREMENT_RETRY_S = 0.5
 
 
@@ -51,6 +52,7 @@
             self._apply_endpoints,
             self._clock,
             log,
+            directory.CHANGE_PAUSE_S,
         )
         self._routes = routetable.RouteKeeper(dialect, log)
         self._pool = connections.ConnectionPool()
@@ -72,7 +74,10 @@
         """Listen, follow the store and contend for the lease."""
         kinds = self._dialect.kinds
         routes = following.Follower(
-            self._store, kinds.routes, self._apply_routes, self._clock,
+            self._store,
+            kinds.routes,
+            self._apply_routes,
+            self._clock,
             self._log,
         )
         retirements = following.Follower(
@@ -171,7 +176,8 @@
             self._dialect,
             self._lease,
             lambda: self._routes.table,
-            self._needs_whole,
+            owner.needs_whole,
+            owner.measure_demand,
             self._wake,
             self._lease.quiet_s,
             self._log,
@@ -182,6 +188,9 @@
             owner.apply,
             self._clock,
             self._log,
+            # Too large to be listed often; short watches find a lost answer.
+            wait_s=SUBMISSIONS_WAIT_S,
+            check_s=0.0,
         )
         named = following.Follower(
             self._store,
@@ -212,23 +221,10 @@
             state.changing.clear()
         self._log.info('not leading', reason=reason)
 
-    def _needs_whole(self, model):
-        """Whether one version must make each result of a model now."""
-        table = self._routes.table
-        for entry in self._owner.open.values() if self._owner else ():
-            if entry.ended or entry.submission.model != model:
-                continue
-            route = table.find(entry.submission.route) if table else None
-            if route is not None and route.single_version:
-                return True
-        return False
-
     # Answering gateways.
 
     async def _serve_peer(self, stream):
-        await asking.serve_questions(
-            stream, questions.Question, self._answer
-        )
+        await asking.serve_questions(stream, questions.Question, self._answer)
 
     async def _answer(self, question):
         owner = self._owner
--- a/src/clementineline/daemons/logs.py
+++ b/src/clementineline/daemons/logs.py
@@ -41,9 +41,8 @@
             self._flush()
             return
         if self.dropped and not self._lines:
-            note = b'{"event":"log lines dropped","count":%d}\n' % self.dropped
+            self._append(b'{"event":"dropped","lines":%d}\n' % self.dropped)
             self.dropped = 0
-            self._append(note)
         self._append(line)
         self._flush()
 
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -13,16 +13,18 @@
 
 VERSION_LINE = b'weight-versions'
 # Headers that the system sets itself; a caller's copy is not passed on.
-_OWN_HEADERS = frozenset((
-    b'expect-instance',
-    b'timeout-ms',
-    b'expect-version',
-    b'request-priority',
-    b'content-length',
-    b'host',
-    b'request-id',
-    b'last-event-id',
-))
+_OWN_HEADERS = frozenset(
+    (
+        b'expect-instance',
+        b'timeout-ms',
+        b'expect-version',
+        b'request-priority',
+        b'content-length',
+        b'host',
+        b'request-id',
+        b'last-event-id',
+    )
+)
 
 
 def _read_number(text):
@@ -90,9 +92,7 @@
         headers.append((name, value.encode('latin-1')))
     if resume_after:
         headers.append((b'Last-Event-Id', b'%d' % resume_after))
-    return http.Head(
-        b'POST', item.path.encode('latin-1'), tuple(headers)
-    )
+    return http.Head(b'POST', item.path.encode('latin-1'), tuple(headers))
 
 
 def read_reply(headers):
--- a/src/clementineline/platform/main.py
+++ b/src/clementineline/platform/main.py
@@ -5,8 +5,8 @@
 import signal
 import sys
 
-from clementineline import errors
 from clementineline.daemons import logs
+from clementineline import errors
 from clementineline.platform import dialect
 from clementineline.platform import objects
 from clementineline.platform import settings
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import urllib.parse
 import uuid
 
 import msgspec
@@ -140,8 +141,7 @@
             return await self._resolve(kind, name, value, expected)
         if status in (404, 409):
             raise errors.WriteConflict(
-                f'{kind}/{name}: expected version {expected}, '
-                f'status {status}'
+                f'{kind}/{name}: expected version {expected}, status {status}'
             )
         self._check(status, answer, f'{method} {kind}/{name}')
         return _decode_object(kind, answer).version
@@ -188,17 +188,21 @@
         if status != 404:
             self._check(status, body, f'DELETE {kind}/{name}')
 
-    async def list_objects(self, kind):
+    async def list_objects(self, kind, stale=False):
         """Return all objects of a kind as an :class:`~objects.ObjectPage`.
 
+        :param stale: whether an answer that is seconds old will do
+
         The page's version is that of the first part: what changed while the
         other parts were read comes again with the watch.
         """
         listed = []
         version = None
-        after = ''
+        query = {'serializable': '1'} if stale else {}
         while True:
-            path = f'/{kind}?after={after}' if after else f'/{kind}'
+            path = f'/{kind}'
+            if query:
+                path += '?' + urllib.parse.urlencode(query)
             status, body = await self._call('GET', path)
             self._check(status, body, f'GET {kind}')
             page = msgspec.json.decode(body, type=_Page)
@@ -208,8 +212,11 @@
                 found = _decode_object(kind, raw)
                 if found is not None:
                     listed.append(found)
-                    after = found.name
-            if not page.morePages or not page.items:
+            if listed and query.get('after') != listed[-1].name:
+                query['after'] = listed[-1].name
+            elif page.morePages:
+                raise errors.PlatformError(f'GET {kind}: a page of no objects')
+            if not page.morePages:
                 return objects.ObjectPage(version, listed, [])
 
     async def watch(self, kind, since, wait_s):
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -25,15 +25,17 @@
     'strip_connection_headers',
 ]
 
-_CONNECTION_HEADERS = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-))
+_CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
 _REASONS = {
     200: b'OK',
     202: b'Accepted',
@@ -509,9 +511,7 @@
                 return bytes(body)
             body += data
             if len(body) > max_bytes:
-                raise errors.ProtocolError(
-                    f'response over {max_bytes} bytes'
-                )
+                raise errors.ProtocolError(f'response over {max_bytes} bytes')
 
     async def _next_event(self):
         try:
