--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -10,7 +10,7 @@
 # the store's return, if its endpoint lives.
 RETURN_S = 1.6
 # Entries change in bursts while versions load; they come in one answer.
-CHANGE_PAUSE_S = 0.3
+CHANGE_PAUSE_S = 0.8
 PENALTY_S = 0.5
 PENALTY_MAX_S = 4.0
 LOAD_TTL_S = 1.0
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -16,6 +16,8 @@
 LEASE_NAME = 'leader'
 # A holder stops this share of the duration before a contender may start.
 SAFETY_SHARE = 0.25
+# A holder whose renewal failed tries again at once: its time runs out.
+RETRY_S = 0.05
 # Entries that are no candidates look at the lease this much less often.
 OTHERS_FACTOR = 20
 
@@ -87,6 +89,9 @@
             except errors.PlatformError as error:
                 self._log.info('lease not renewed', reason=str(error))
                 self._drop_lapsed()
+                if self.fence:
+                    await asyncio.sleep(RETRY_S)
+                    continue
             interval_s = self._settings.renew_s
             if not self.fence and not self._is_candidate():
                 interval_s *= OTHERS_FACTOR
--- /dev/null
+++ b/src/clementineline/coordination/members.py
@@ -0,0 +1,190 @@
+"""The system's own processes, and calls to the store through one of them.
+
+The platform's store may turn one VM away and serve the others. A process that
+it turns away asks another one to make the call; the caller still holds its
+leases and decides, the other one only carries bytes.
+"""
+
+import asyncio
+
+from clementineline import errors
+from clementineline.protocol import asking
+from clementineline.protocol import links
+from clementineline.state import questions
+from clementineline.transport import frames
+
+__all__ = ['MEMBERS_KIND', 'Members', 'StoreRelay', 'answer_relay']
+
+MEMBERS_KIND = 'members'
+REFRESH_S = 5.0
+REGISTER_RETRY_S = 0.5
+# Time for the way to the other process, beside the call itself.
+RELAY_GRACE_S = 0.5
+ATTEMPTS_MAX = 3
+# A member that could not help is asked again after this time.
+REST_S = 1.0
+
+
+class Members:
+    """Registers this process, and knows the others.
+
+    :param name: name of this process
+    :param address: ``HOST:PORT`` at which it answers
+    :param store: the client of the platform's store
+    :param log: logger
+    """
+
+    __slots__ = ('_address', '_log', '_name', '_store', 'others')
+
+    def __init__(self, name, address, store, log):
+        self._name = name
+        self._address = address
+        self._store = store
+        self._log = log
+        self.others = {}
+
+    async def run(self):
+        """Register, then keep the list of the others fresh."""
+        while not await self._register():
+            await asyncio.sleep(links.jitter(REGISTER_RETRY_S))
+        while True:
+            try:
+                page = await self._store.list_objects(MEMBERS_KIND, stale=True)
+            except errors.PlatformError as error:
+                self._log.info('members not read', reason=str(error))
+            else:
+                self._take(page.objects)
+            wait_s = REFRESH_S if self.others else REGISTER_RETRY_S
+            await asyncio.sleep(links.jitter(wait_s))
+
+    def _take(self, objects):
+        others = {}
+        for found in objects:
+            address = found.value.get('address')
+            if found.name == self._name or not isinstance(address, str):
+                continue
+            others[found.name] = address
+        if others:
+            self.others = others
+
+    async def _register(self):
+        try:
+            current = await self._store.read(MEMBERS_KIND, self._name)
+            if current is not None:
+                if current.value.get('address') == self._address:
+                    return True
+            await self._store.write(
+                MEMBERS_KIND,
+                self._name,
+                {'address': self._address},
+                current.version if current else 0,
+            )
+        except errors.PlatformError as error:
+            self._log.info('not registered', reason=str(error))
+            return False
+        return True
+
+
+class StoreRelay:
+    """Makes calls to the store through other processes.
+
+    :param members: the :class:`Members`
+    :param log: logger
+    """
+
+    __slots__ = ('_askers', '_last', '_log', '_members', '_resting')
+
+    def __init__(self, members, log):
+        self._members = members
+        self._log = log
+        self._askers = {}
+        self._resting = {}
+        self._last = None
+
+    async def call(self, method, path, body, timeout_s):
+        """Make a call; the parameters are those of the store's client.
+
+        :returns: ``(status, body)``
+        :raises errors.PlatformUnavailable: if nothing can have been done
+        :raises errors.AmbiguousWrite: if a write got no answer
+        """
+        question = questions.RelayCall(method, path, body, timeout_s)
+        reason = 'no other process is known'
+        for name in self._choose():
+            try:
+                answer = await self._ask(name, question, timeout_s)
+            except errors.ConnectionLost as error:
+                reason = f'{name}: {error}'
+                self._rest(name)
+                if isinstance(error, errors.AnswerLost) and method != 'GET':
+                    raise errors.AmbiguousWrite(reason) from error
+                continue
+            if isinstance(answer, questions.RelayAnswer):
+                self._note_path(name)
+                return answer.status, answer.body
+            if answer.ambiguous:
+                raise errors.AmbiguousWrite(f'{name}: {answer.reason}')
+            reason = f'{name}: {answer.reason}'
+            self._rest(name)
+        raise errors.PlatformUnavailable(f'not relayed: {reason}')
+
+    def _choose(self):
+        """Return the members to ask, the last good one first."""
+        now = asyncio.get_running_loop().time()
+        names = []
+        for name in self._members.others:
+            if now >= self._resting.get(name, 0.0):
+                names.append(name)
+        names.sort(key=lambda name: (name != self._last, name))
+        return names[:ATTEMPTS_MAX]
+
+    async def _ask(self, name, question, timeout_s):
+        address = self._members.others.get(name)
+        asker = self._askers.get(name)
+        if asker is None:
+            asker = asking.Asker(
+                frames.parse_address(address), questions.Answer
+            )
+            self._askers[name] = asker
+        try:
+            return await asker.ask(question, timeout_s + RELAY_GRACE_S)
+        except errors.ConnectionLost:
+            self._askers.pop(name, None)
+            raise
+
+    def _rest(self, name):
+        now = asyncio.get_running_loop().time()
+        self._resting[name] = now + REST_S
+        if self._last == name:
+            self._last = None
+
+    def _note_path(self, name):
+        if self._last != name:
+            self._last = name
+            self._log.info('store reached through a member', member=name)
+
+
+async def answer_relay(store, question):
+    """Make a call to the store for another process.
+
+    :param store: the client of the platform's store
+    :param question: a :class:`~questions.RelayCall`
+    :returns: a :class:`~questions.RelayAnswer` or
+        :class:`~questions.RelayFailed`
+    """
+    if not store.reachable:
+        return questions.RelayFailed('out of reach here too', False)
+    try:
+        status, body = await store.call_directly(
+            question.method,
+            question.path,
+            question.body,
+            question.timeout_s,
+        )
+    except errors.AmbiguousWrite as error:
+        return questions.RelayFailed(str(error), True)
+    except errors.PlatformError as error:
+        return questions.RelayFailed(str(error), False)
+    if status in (429, 503):
+        return questions.RelayFailed(f'status {status}', False)
+    return questions.RelayAnswer(status, body)
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -12,10 +12,12 @@
 from clementineline.coordination import forwarding
 from clementineline.coordination import leaders
 from clementineline.coordination import ledger
+from clementineline.coordination import members
 from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
 from clementineline.daemons import tasks
 from clementineline import errors
+from clementineline.protocol import asking
 from clementineline.protocol import verdicts
 from clementineline.state import dialect as dialects
 from clementineline.state import questions
@@ -84,6 +86,10 @@
         self._ready_server = http.Server(
             self._handle_ready, http.ServerLimits(), log
         )
+        self._members = members.Members(
+            settings.name, settings.listen, store, log
+        )
+        store.relay = members.StoreRelay(self._members, log).call
         self._stopping = False
 
     async def start(self):
@@ -91,12 +97,26 @@
         self._tasks.keep(self._routes_follower.run, 'routes')
         self._tasks.keep(self._endpoints.run, 'endpoints')
         self._tasks.keep(self._sweep, 'sweep')
+        self._tasks.keep(self._members.run, 'members')
+        await frames.start_server(
+            frames.parse_address(self._settings.listen), self._serve_peer
+        )
         await self._server.start(frames.parse_address(self._settings.http))
         await self._ready_server.start(
             frames.parse_address(self._settings.ready)
         )
         self._log.info('gateway started', zone=self._settings.zone)
 
+    async def _serve_peer(self, stream):
+        await asking.serve_questions(
+            stream, questions.Question, self._answer_peer
+        )
+
+    async def _answer_peer(self, question):
+        if isinstance(question, questions.RelayCall):
+            return await members.answer_relay(self._store, question)
+        return questions.NotLeading('a gateway owns nothing')
+
     def reload(self, settings):
         """Take new settings; addresses change at the next start only."""
         self._settings = settings
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -9,6 +9,7 @@
 from clementineline.coordination import following
 from clementineline.coordination import lease
 from clementineline.coordination import ledger
+from clementineline.coordination import members
 from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
 from clementineline.coordination import versions
@@ -65,6 +66,10 @@
             log,
             address=settings.listen,
         )
+        self._members = members.Members(
+            settings.name, settings.listen, store, log
+        )
+        store.relay = members.StoreRelay(self._members, log).call
         self._owner = None
         self._orders = None
         self._retiring = set()
@@ -93,6 +98,7 @@
         self._tasks.keep(self._contend, 'lease')
         self._tasks.keep(self._lead, 'lead')
         self._tasks.keep(self._sweep, 'sweep')
+        self._tasks.keep(self._members.run, 'members')
         self._tasks.keep(self._complete_retirements, 'retire')
         await frames.start_server(
             frames.parse_address(self._settings.listen), self._serve_peer
@@ -227,6 +233,8 @@
         await asking.serve_questions(stream, questions.Question, self._answer)
 
     async def _answer(self, question):
+        if isinstance(question, questions.RelayCall):
+            return await members.answer_relay(self._store, question)
         owner = self._owner
         if owner is None or not owner.known or not self._may_lead():
             return questions.NotLeading(self._lease.known_holder)
--- a/src/clementineline/daemons/logs.py
+++ b/src/clementineline/daemons/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON line for each event, never waiting for a reader."""
+"""Structured logs: one JSON line for each event, without any waiting."""
 
 import collections
 import logging
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     'AmbiguousWrite',
+    'AnswerLost',
     'ClementinelineError',
     'ConnectionLost',
     'CursorError',
@@ -39,6 +40,10 @@
     """The connection ended before the expected frame arrived."""
 
 
+class AnswerLost(ConnectionLost):
+    """The connection ended after the question was sent."""
+
+
 class FrameTooLarge(ProtocolError):
     """A frame is larger than the receiver accepts."""
 
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -22,9 +22,12 @@
 IDLE_CONNECTIONS_MAX = 4
 # The store closes connections on its own terms; an older one is not reused.
 IDLE_CONNECTION_S = 5.0
-CONNECT_TIMEOUT_S = 1.0
-ANSWER_TIMEOUT_S = 2.5
-WATCH_GRACE_S = 1.5
+CONNECT_TIMEOUT_S = 0.7
+# The slowest answers on the sheets take a quarter of a second.
+ANSWER_TIMEOUT_S = 1.0
+WATCH_GRACE_S = 1.0
+PROBE_INTERVAL_S = 0.7
+PROBE_KIND = 'lease'
 
 
 class _Metadata(msgspec.Struct):
@@ -90,14 +93,26 @@
     :param log: logger
     """
 
-    __slots__ = ('_address', '_idle', '_log', 'available', 'calls')
+    __slots__ = (
+        '_address',
+        '_idle',
+        '_log',
+        '_probe',
+        'calls',
+        'reachable',
+        'relay',
+    )
 
     def __init__(self, address, log):
         self._address = address
         self._idle = []
         self._log = log
-        self.available = True
+        self._probe = None
         self.calls = 0
+        self.reachable = True
+        # Coroutine function with the arguments and the result of
+        # call_directly; it asks another process to make the call.
+        self.relay = None
 
     async def read(self, kind, name, stale=False):
         """Read an object; None if there is none.
@@ -260,12 +275,29 @@
         raise errors.PlatformError(f'{call}: status {status} {text}')
 
     async def _call(self, method, path, body=b'', timeout_s=ANSWER_TIMEOUT_S):
-        """Make a call.
+        """Make a call, through another process if the store is out of reach.
 
         :returns: ``(status, body)``
         :raises errors.PlatformUnavailable: if nothing can have been done
         :raises errors.AmbiguousWrite: if a write got no answer
         """
+        if self.reachable or self.relay is None:
+            try:
+                status, answer = await self.call_directly(
+                    method, path, body, timeout_s
+                )
+            except errors.AmbiguousWrite:
+                raise
+            except errors.PlatformUnavailable:
+                if self.relay is None:
+                    raise
+            else:
+                if status not in (429, 503) or self.relay is None:
+                    return status, answer
+        return await self.relay(method, path, body, timeout_s)
+
+    async def call_directly(self, method, path, body, timeout_s):
+        """Make a call to the store itself; see :meth:`_call`."""
         self.calls += 1
         try:
             client = await self._take_connection()
@@ -296,18 +328,34 @@
         self._give_back(client)
         if reply.status_code in (429, 503):
             self._note_lost(method, path, f'status {reply.status_code}')
-        elif not self.available:
-            self.available = True
-            self._log.info('platform regained')
+        elif not self.reachable:
+            self._note_regained()
         return reply.status_code, answer
 
     def _note_lost(self, method, path, reason):
-        if not self.available:
+        if not self.reachable:
             return
-        self.available = False
+        self.reachable = False
         self._log.warning(
             'platform lost', call=f'{method} {path}', reason=reason
         )
+        if self._probe is None:
+            self._probe = asyncio.create_task(self._probe_store())
+
+    def _note_regained(self):
+        self.reachable = True
+        self._log.info('platform regained')
+
+    async def _probe_store(self):
+        """Look for the store until it answers this process again."""
+        path = f'/{PROBE_KIND}?serializable=1'
+        while not self.reachable:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            try:
+                await self.call_directly('GET', path, b'', ANSWER_TIMEOUT_S)
+            except errors.PlatformError:
+                continue
+        self._probe = None
 
     async def _take_connection(self):
         now = asyncio.get_running_loop().time()
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -9,7 +9,7 @@
 
 BOOT_VARIABLE = 'CLEMENTINELINE_BOOT'
 # A lapsed lease is taken after this long, and renewed three times within.
-LEASE_DURATION_S = 2.4
+LEASE_DURATION_S = 3.0
 LEASE_RENEW_S = 0.6
 # Kept beyond the time for which results must be readable.
 RETAIN_MARGIN_S = 60.0
@@ -65,6 +65,7 @@
         zone=node.zone,
         http=node.listen.front,
         ready=node.listen.ready,
+        listen=_build_address(node, PEER_PORT_INDEX),
         store=node.platform.address,
         grace_s=node.bounds.grace_s,
         metrics=_build_address(node, METRICS_PORT_INDEX),
--- a/src/clementineline/protocol/asking.py
+++ b/src/clementineline/protocol/asking.py
@@ -62,7 +62,8 @@
     async def ask(self, question, timeout_s):
         """Ask and wait for the answer.
 
-        :raises errors.ConnectionLost: if no answer came in time
+        :raises errors.AnswerLost: if no answer came in time
+        :raises errors.ConnectionLost: if it was not asked
         """
         async with self._lock:
             if self._stream is None:
@@ -78,7 +79,7 @@
             return self._decoder.decode(raw)
         except TimeoutError as error:
             self._drop('no answer in time')
-            raise errors.ConnectionLost('no answer in time') from error
+            raise errors.AnswerLost('no answer in time') from error
         except msgspec.DecodeError as error:
             raise errors.ProtocolError(f'answer: {error}') from error
         finally:
@@ -109,7 +110,7 @@
             stream.abort()
         for waiting in list(self._pending.values()):
             if not waiting.done():
-                waiting.set_exception(errors.ConnectionLost(reason))
+                waiting.set_exception(errors.AnswerLost(reason))
 
     def close(self):
         """Close the connection; questions that wait fail."""
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -1,4 +1,4 @@
-"""What entries ask the owner of submissions, and its answers."""
+"""What processes ask each other, and the answers."""
 
 import msgspec
 
@@ -12,6 +12,9 @@
     'Question',
     'ReadBody',
     'ReadResults',
+    'RelayAnswer',
+    'RelayCall',
+    'RelayFailed',
     'Unknown',
 ]
 
@@ -53,5 +56,33 @@
     body: bytes | None
 
 
-Question = ReadResults | ReadBody
-Answer = NotLeading | Unknown | PageAnswer | BodyAnswer
+class RelayCall(msgspec.Struct, frozen=True, tag='relay'):
+    """Asks to make a call to the platform's store."""
+
+    method: str
+    path: str
+    body: bytes
+    timeout_s: float
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, tag='relayed'):
+    """The store's answer."""
+
+    status: int
+    body: bytes
+
+
+class RelayFailed(msgspec.Struct, frozen=True, tag='not_relayed'):
+    """The store did not answer.
+
+    :param ambiguous: whether the call may have been carried out
+    """
+
+    reason: str
+    ambiguous: bool
+
+
+Question = ReadResults | ReadBody | RelayCall
+Answer = (
+    NotLeading | Unknown | PageAnswer | BodyAnswer | RelayAnswer | RelayFailed
+)
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -208,6 +208,7 @@
     :param zone: availability zone
     :param http: ``HOST:PORT`` for callers and trainers
     :param ready: ``HOST:PORT`` for the balancer's probes
+    :param listen: ``HOST:PORT`` for the other processes
     :param store: ``HOST:PORT`` of the platform's store
     :param grace_s: time between the stop signal and the kill
     :param metrics: ``HOST:PORT`` for metrics, empty for none
@@ -217,6 +218,7 @@
     zone: Name
     http: str
     ready: str
+    listen: str
     store: str
     grace_s: Positive = 8.0
     metrics: str = ''
