--- /dev/null
+++ b/src/clementineline/platform/tests/conftest.py
@@ -0,0 +1,181 @@
+"""A small platform in the test's process: store, servers, and our programs."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from clementineline.daemons import gateway as gateways
+from clementineline.daemons import keeper as keepers
+from clementineline.platform import dialect
+from clementineline.platform import objects
+from clementineline.platform.tests import standin
+from clementineline.state import settings
+from clementineline.transport import frames
+from clementineline.transport import http
+
+FAST_LEASE = settings.LeaseSettings(duration_s=0.6, renew_s=0.1, quiet_s=0.1)
+
+
+class Deployment:
+    """Programs and stand-ins that run together on loopback."""
+
+    def __init__(self, log):
+        self.log = log
+        self.store = standin.StoreStandIn(log)
+        self.servers = {}
+        self.gateways = {}
+        self.keepers = {}
+        self.clients = {}
+
+    def build_store_client(self, name):
+        client = objects.ObjectStore(
+            frames.parse_address(self.store.address), self.log
+        )
+        self.clients[name] = client
+        return client
+
+    async def start_server(self, name, service, versions=None, **entry):
+        server = standin.ServerStandIn(self.log, name, versions)
+        await server.start()
+        self.servers[name] = server
+        self.store.put('servers', name, server.describe(service, **entry))
+        return server
+
+    async def start_gateway(self, name):
+        loaded = settings.GatewaySettings(
+            name=name,
+            zone='walvis-a',
+            http=f'127.0.0.1:{standin.find_port()}',
+            ready=f'127.0.0.1:{standin.find_port()}',
+            listen=f'127.0.0.1:{standin.find_port()}',
+            store=self.store.address,
+            grace_s=4.2,
+        )
+        store = self.build_store_client(name)
+        gateway = gateways.Gateway(
+            loaded, store, dialect.WireDialect(), self.log
+        )
+        gateway.settings = loaded
+        self.gateways[name] = gateway
+        await gateway.start()
+        return gateway
+
+    async def start_keeper(self, name):
+        loaded = settings.KeeperSettings(
+            name=name,
+            zone='walvis-a',
+            listen=f'127.0.0.1:{standin.find_port()}',
+            store=self.store.address,
+            lease=FAST_LEASE,
+        )
+        store = self.build_store_client(name)
+        keeper = keepers.Keeper(loaded, store, dialect.WireDialect(), self.log)
+        self.keepers[name] = keeper
+        await keeper.start()
+        return keeper
+
+    def find_leader(self):
+        """Return the name of the keeper that leads, or None."""
+        for name, keeper in self.keepers.items():
+            owner = keeper._owner
+            if owner is not None and owner.known and keeper._may_lead():
+                return name
+        return None
+
+    async def call(self, gateway, method, target, headers=(), body=b''):
+        """Send one request on a new connection.
+
+        :returns: ``(status, headers, body)``
+        """
+        address = frames.parse_address(gateway.settings.http)
+        client = await http.connect(address, 1.0)
+        head = http.Head(
+            method.encode(),
+            target.encode(),
+            ((b'Host', b'shop.example'), *headers),
+        )
+        try:
+            client.send_request(head, body)
+            reply = await client.receive_head()
+            answer = await client.receive_body(1 << 24)
+        finally:
+            client.close()
+        return reply.status_code, tuple(reply.headers), answer
+
+    async def submit(self, gateway, submission_id, items=4, **fields):
+        """Submit a step whose items stand in pairs."""
+        body = {
+            'step': 0,
+            'model': 'm0',
+            'minVersion': 1,
+            'desired': items // 2,
+            'items': [
+                {
+                    'id': f'{submission_id}-i{number}',
+                    'path': f'/batch/{number}',
+                    'headers': {'Model': 'm0', 'Length-Hint': '3'},
+                    'body': base64.b64encode(b'prompt %d' % number).decode(),
+                    'tokens': 10,
+                    'group': f'g{number // 2}',
+                }
+                for number in range(items)
+            ],
+            **fields,
+        }
+        status, _, _ = await self.call(
+            gateway,
+            'POST',
+            f'/batch/{submission_id}',
+            ((b'Request-Id', submission_id.encode()),),
+            json.dumps(body).encode(),
+        )
+        return status
+
+    async def read(self, gateway, submission_id, after=0):
+        status, _, body = await self.call(
+            gateway, 'GET', f'/api/lots/{submission_id}?after={after}'
+        )
+        return status, json.loads(body) if status == 200 else None
+
+    async def read_all(self, gateway, submission_id, count):
+        """Read until so many results are listed."""
+        results = []
+        async with asyncio.timeout(20):
+            while len(results) < count:
+                status, page = await self.read(
+                    gateway, submission_id, len(results)
+                )
+                if status == 200:
+                    results.extend(page['results'])
+                await asyncio.sleep(0.02)
+        return results
+
+    async def stop(self):
+        for process in [*self.gateways.values(), *self.keepers.values()]:
+            await process._tasks.stop()
+        for served in [self.store, *self.servers.values()]:
+            await served.stop()
+
+
+@pytest.fixture
+async def deployment(log):
+    started = Deployment(log)
+    await started.store.start()
+    started.store.put('config', 'main', standin.build_manifest())
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+async def served(deployment, wait_until):
+    """A deployment with one gateway, two keepers, a service, two engines."""
+    await deployment.start_server('i-desk', 'desk')
+    await deployment.start_server('i-lm0', 'lm', {'m0': 1, 'm1': 1})
+    await deployment.start_server('i-lm1', 'lm', {'m0': 1, 'm1': 1})
+    gateway = await deployment.start_gateway('gateway-1')
+    await deployment.start_keeper('keeper-1')
+    await deployment.start_keeper('keeper-2')
+    await wait_until(lambda: gateway.is_ready and deployment.find_leader())
+    return deployment
--- /dev/null
+++ b/src/clementineline/platform/tests/standin.py
@@ -0,0 +1,417 @@
+"""Stand-ins of the users' platform: its store, and servers behind it.
+
+They speak the wire's dialect over loopback, inside the test's own process.
+Faults are attributes that a test switches.
+"""
+
+import asyncio
+import json
+import socket
+import urllib.parse
+
+from clementineline.transport import frames
+from clementineline.transport import http
+
+LIMITS = http.ServerLimits(body_bytes=64 * 1024 * 1024)
+
+
+def find_port():
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+class _Served:
+    """A stand-in with an HTTP server."""
+
+    def __init__(self, log):
+        self.port = find_port()
+        self.address = f'127.0.0.1:{self.port}'
+        self.server = http.Server(self.handle, LIMITS, log)
+
+    async def start(self):
+        await self.server.start(frames.parse_address(self.address))
+
+    async def stop(self):
+        self.server.stop()
+        await self.server.drain(0.0)
+
+
+def respond_json(incoming, value, status=200):
+    headers = ((b'Content-Type', b'application/json'),)
+    incoming.respond(status, headers, json.dumps(value).encode())
+
+
+class StoreStandIn(_Served):
+    """The platform's store.
+
+    ``down`` answers 503; ``lose_writes`` carries out this many writes without
+    an answer; ``late_writes`` carries them out only with :meth:`apply_late`;
+    ``lose_watches`` leaves this many watches without an answer for good;
+    ``page_size`` splits lists; ``refused`` holds addresses' names that get
+    503 (by the ``Host`` header being the same for all, by call count).
+    """
+
+    def __init__(self, log):
+        super().__init__(log)
+        self.objects = {}
+        self.events = []
+        self.revision = 1
+        self.oldest = 0
+        self.down = False
+        self.lose_writes = 0
+        self.hold_writes = 0
+        self.lose_watches = 0
+        self.page_size = 500
+        self.late = []
+        self.calls = []
+        self._changed = asyncio.Event()
+
+    def put(self, kind, name, spec, status=None):
+        """Write as the operator or a server would."""
+        self.revision += 1
+        found = {
+            'metadata': {
+                'name': name,
+                'revision': self.revision,
+                'created': self.revision,
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': spec,
+            'status': status,
+        }
+        self.objects[(kind, name)] = found
+        self._note(kind, found, deleted=False)
+        return found
+
+    def remove(self, kind, name):
+        found = self.objects.pop((kind, name), None)
+        if found is None:
+            return
+        self.revision += 1
+        self._note(kind, found, deleted=True)
+
+    def forget_history(self):
+        self.events.clear()
+        self.oldest = self.revision
+
+    def _note(self, kind, found, deleted):
+        self.events.append(
+            (
+                self.revision,
+                kind,
+                {'object': found, 'deleted': deleted},
+            )
+        )
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def get_spec(self, kind, name):
+        found = self.objects.get((kind, name))
+        return found['spec'] if found else None
+
+    def get_status(self, kind, name):
+        found = self.objects.get((kind, name))
+        return found['status'] if found else None
+
+    async def handle(self, incoming):
+        target = incoming.head.target.decode()
+        path, _, query = target.partition('?')
+        query = dict(urllib.parse.parse_qsl(query))
+        parts = path.removeprefix('/api/objects/').split('/')
+        kind, names = parts[0], [urllib.parse.unquote(p) for p in parts[1:]]
+        method = incoming.head.method.decode()
+        self.calls.append((method, kind, query))
+        if self.down:
+            incoming.respond(503, (), b'')
+            return
+        if method == 'GET':
+            await self._read(incoming, kind, names, query)
+            return
+        if self.hold_writes:
+            self.hold_writes -= 1
+            self.late.append((method, kind, parts[1:], incoming.body))
+            await asyncio.sleep(60)
+            return
+        status, answer = self._write(method, kind, parts[1:], incoming.body)
+        if self.lose_writes:
+            self.lose_writes -= 1
+            await asyncio.sleep(60)
+            return
+        respond_json(incoming, answer, status)
+
+    def apply_late(self):
+        """Carry out the writes that were held."""
+        for method, kind, names, body in self.late:
+            self._write(method, kind, names, body)
+        self.late.clear()
+
+    async def _read(self, incoming, kind, names, query):
+        if names:
+            found = self.objects.get((kind, '/'.join(names)))
+            if found is None:
+                found = self.objects.get((kind, urllib.parse.quote(names[0])))
+            respond_json(incoming, found, 200 if found else 404)
+            return
+        if 'watch' in query:
+            await self._watch(incoming, kind, query)
+            return
+        items = []
+        for key in sorted(self.objects):
+            if key[0] == kind and key[1] > query.get('after', ''):
+                items.append(self.objects[key])
+        respond_json(
+            incoming,
+            {
+                'items': items[: self.page_size],
+                'morePages': len(items) > self.page_size,
+                'currentRev': self.revision,
+            },
+        )
+
+    async def _watch(self, incoming, kind, query):
+        if self.lose_watches:
+            self.lose_watches -= 1
+            await asyncio.sleep(60)
+            return
+        since = int(query['watch'])
+        if since < self.oldest:
+            incoming.respond(410, (), b'')
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(query['waitMs']) / 1000
+        while True:
+            events = []
+            for revision, event_kind, event in self.events:
+                if event_kind == kind and revision > since:
+                    events.append(event)
+            left = deadline - loop.time()
+            if events or left <= 0:
+                break
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+        respond_json(incoming, {'events': events, 'currentRev': self.revision})
+
+    def _write(self, method, kind, names, body):
+        given = json.loads(body) if body else {}
+        metadata = given.get('metadata', {})
+        name = names[0] if names else metadata['name']
+        current = self.objects.get((kind, name))
+        if method == 'POST':
+            if current is not None:
+                return 409, current
+            return 201, self.put(kind, name, given.get('spec'))
+        if current is None:
+            return 404, {}
+        if method == 'DELETE':
+            self.remove(kind, name)
+            return 200, {}
+        expected = metadata.get('revision')
+        if expected not in (None, current['metadata']['revision']):
+            return 409, current
+        if names[1:] == ['status']:
+            spec, status = current['spec'], given.get('status')
+        else:
+            spec, status = given.get('spec'), current['status']
+        return 200, self.put(kind, name, spec, status)
+
+
+class ServerStandIn(_Served):
+    """A server: a plain one, or an engine that streams items.
+
+    ``events`` is the number of events of an item; ``gap_s`` the time between
+    two; ``fail_next`` answers this many requests with ``fail_status``;
+    ``break_after`` breaks each stream after this many events, once.
+    """
+
+    def __init__(self, log, name, versions=None):
+        super().__init__(log)
+        self.name = name
+        self.versions = dict(versions or {})
+        self.orders = []
+        self.late_orders = 0
+        self.runs = []
+        self.events = 3
+        self.gap_s = 0.002
+        self.fail_next = 0
+        self.fail_status = 500
+        self.shed = False
+        self.break_after = None
+        self.delay_s = 0.0
+        self.extra = b''
+        self.accepted = 0
+
+    def describe(self, service, zone='walvis-a', state='ready'):
+        """Return the entry that the server writes in the store."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': 4,
+            'state': state,
+            'coldLeftMs': 0,
+            'models': [
+                {'name': model, 'version': version, 'adapters': []}
+                for model, version in self.versions.items()
+            ],
+            'seq': 1,
+            'born': 1700000000000,
+        }
+
+    async def handle(self, incoming):
+        head = incoming.head
+        headers = {
+            key.lower().decode(): value.decode() for key, value in head.headers
+        }
+        if headers.get('expect-instance') != self.name:
+            incoming.respond(421, (), b'')
+            return
+        path = head.path.decode()
+        if path == '/api/report':
+            self._report(incoming)
+            return
+        if path == '/api/order':
+            await self._order(incoming)
+            return
+        request_id = headers.get('request-id', '')
+        echo = (
+            (b'Request-Id', request_id.encode()),
+            (b'Server-Load', b'1,0,4,100'),
+        )
+        if self.shed:
+            incoming.respond(503, (*echo, (b'Not-Executed', b'1')), b'')
+            return
+        self.runs.append((request_id, headers, incoming.body))
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        signed = (*echo, (b'Server-Stamp', b'stamp'))
+        if self.fail_next:
+            self.fail_next -= 1
+            incoming.respond(self.fail_status, signed, b'failed')
+            return
+        model = headers.get('model')
+        if model is None:
+            incoming.respond(200, signed, b'answer to ' + incoming.body)
+            if self.extra:
+                incoming._channel.send(self.extra)
+            return
+        await self._stream(incoming, headers, signed, model)
+
+    async def _stream(self, incoming, headers, signed, model):
+        first = int(headers.get('last-event-id', 0))
+        channel = incoming._channel
+        lines = [b'HTTP/1.1 200 OK']
+        lines.extend(key + b': ' + value for key, value in signed)
+        lines.append(b'Weight-Versions: %d' % self.versions[model])
+        lines.append(b'Transfer-Encoding: chunked')
+        channel.send(b'\r\n'.join(lines) + b'\r\n\r\n')
+        version = self.versions[model]
+        for number in range(first + 1, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            text = b''
+            if self.versions[model] != version:
+                version = self.versions[model]
+                text = b'weight-versions: %d\n' % version
+            text += b'id: %d\ndata: e%d\n\n' % (number, number)
+            channel.send(b'%x\r\n%s\r\n' % (len(text), text))
+            if self.break_after == number:
+                self.break_after = None
+                channel.abort()
+                return
+        channel.send(b'0\r\n\r\n')
+        channel.close()
+
+    def _report(self, incoming):
+        respond_json(
+            incoming,
+            {
+                'stage': 'both',
+                'models': [
+                    {'name': name, 'version': version, 'adapters': []}
+                    for name, version in self.versions.items()
+                ],
+                'busy': False,
+                'seq': self.accepted,
+                'numWaiting': 0,
+                'numRunning': 0,
+                'kvUsed': 0,
+                'kvTotal': 1000,
+                'handles': 0,
+            },
+        )
+
+    async def _order(self, incoming):
+        order = json.loads(incoming.body)
+        if order['expected'] != self.accepted:
+            incoming.respond(409, (), b'')
+            return
+        self.orders.append(order)
+        if self.late_orders:
+            self.late_orders -= 1
+            await asyncio.sleep(60)
+            return
+        self.accepted += 1
+        self.versions[order['model']] = order['version']
+        incoming.respond(202, (), b'')
+
+
+def build_manifest(version=1, **changes):
+    """Return a manifest with a live and a batch route."""
+    manifest = {
+        'version': version,
+        'routes': [
+            {
+                'name': 'r-live',
+                'host': 'shop.example',
+                'pathPrefix': '/live/',
+                'kind': 'safe',
+                'timeoutMs': 800,
+                'targetLatencyMs': 190,
+                'priority': 2,
+                'service': 'desk',
+                'maxAttempts': 2,
+            },
+            {
+                'name': 'r-batch',
+                'host': 'shop.example',
+                'pathPrefix': '/batch/',
+                'kind': 'rollout',
+                'timeoutMs': 10000,
+                'targetLatencyMs': 500,
+                'priority': 0,
+                'service': 'lm',
+                'maxAttempts': 3,
+                'maxQueueS': 40.0,
+                'resultDueMs': 7500,
+                'singleVersion': False,
+                'sticky': True,
+                'resumable': True,
+            },
+        ],
+        'services': [
+            {'name': 'desk', 'healthPath': '/health', 'maxConns': 50},
+            {
+                'name': 'lm',
+                'healthPath': '/health',
+                'maxConns': 50,
+                'engine': {
+                    'slots': 4,
+                    'models': [{'name': 'm0'}, {'name': 'm1'}],
+                },
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 1000000,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+    }
+    manifest.update(changes)
+    return manifest
