--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/flake8 src spec benchmarks
-	$(BIN)/ruff format --check src spec benchmarks
+	$(BIN)/flake8 src spec benchmarks deploy
+	$(BIN)/ruff format --check src spec benchmarks deploy
 	$(BIN)/lint-imports
 
 format: setup
-	$(BIN)/ruff format src spec benchmarks
+	$(BIN)/ruff format src spec benchmarks deploy
 
 demo: setup
 	$(BIN)/python -m clementineline.experiments.demo
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -41,6 +41,7 @@
         '_log',
         '_observed_at',
         '_platform',
+        '_released_quiet_s',
         '_settings',
         '_valid_until',
         '_version',
@@ -75,6 +76,7 @@
         self.fence = 0
         self.known_fence = 0
         self.known_holder = ''
+        self._released_quiet_s = 0.0
         self.quiet_s = 0.0
 
     def holds(self):
@@ -109,6 +111,7 @@
         if current is not None:
             self.known_holder = current.value['holder']
             self.known_fence = current.value['fence'] or current.version
+            self._released_quiet_s = current.value.get('quiet_s', 0.0)
         # A stale answer may be older than what was seen before.
         if version > self._version or self._observed_at is None:
             self._version = version
@@ -137,9 +140,10 @@
         except errors.WriteConflict:
             self._observed_at = None
             return
-        # Orders of another holder may be as young as this moment.
-        earlier = self.known_holder not in ('', self.holder)
-        self.quiet_s = self._settings.quiet_s if earlier else 0.0
+        self.quiet_s = self._released_quiet_s
+        if self.known_holder not in ('', self.holder):
+            # Its orders may be as young as this moment.
+            self.quiet_s = self._settings.quiet_s
         self._version = version
         self.fence = version
         self.known_fence = version
@@ -179,11 +183,18 @@
         self._valid_until = 0.0
         self._observed_at = None
 
-    async def release(self):
-        """Give the lease up, so that another entry takes it at once."""
+    async def release(self, order_age_s=0.0):
+        """Give the lease up, so that another entry takes it at once.
+
+        :param order_age_s: how long ago the last order was sent
+        """
         if not self.holds():
             return
-        value = {'holder': '', 'fence': self.fence}
+        value = {
+            'holder': '',
+            'fence': self.fence,
+            'quiet_s': max(0.0, self._settings.quiet_s - order_age_s),
+        }
         self._valid_until = 0.0
         try:
             await self._platform.write(
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_directory.py
@@ -0,0 +1,78 @@
+import pytest
+
+from clementineline.coordination import directory
+from clementineline.state import directory as records
+from clementineline.state import objects
+
+ENTRY = {
+    'service': 'desk',
+    'address': '10.0.0.9:8080',
+    'zone': 'walvis-a',
+    'slots': 12,
+    'leaving': False,
+    'cold_s': 0.0,
+    'versions': {'m0': 3},
+    'born_ms': 5,
+}
+
+
+def decode(name, value):
+    if not isinstance(value['slots'], int):
+        return None
+    return records.EndpointRecord(name, **value)
+
+
+@pytest.fixture
+def known(clock, log):
+    return directory.Directory(decode, clock, log)
+
+
+def build_object(name, **changes):
+    return objects.PlatformObject('endpoints', name, 1, {**ENTRY, **changes})
+
+
+def list_names(known):
+    return sorted(state.id for state in known.list_usable('desk'))
+
+
+class TestDirectory:
+    def test_leaving_endpoint_is_not_usable(self, known):
+        known.apply([build_object('a'), build_object('b')], [], True, False)
+        known.apply([build_object('a', leaving=True)], [], False, False)
+        assert list_names(known) == ['b']
+
+    def test_removed_entry_is_gone_at_once(self, known):
+        known.apply([build_object('a')], [], True, False)
+        known.apply([], ['a'], False, False)
+        assert list_names(known) == []
+
+    def test_entry_that_lapsed_in_an_outage_may_come_back(self, known, clock):
+        known.apply([build_object('a'), build_object('b')], [], True, False)
+        known.apply([], ['a', 'b'], False, True)
+        assert list_names(known) == ['a', 'b']
+        clock.time_s += 1.0
+        known.apply([build_object('a')], [], False, True)
+        clock.time_s += 1.0
+        assert list_names(known) == ['a']
+
+    def test_leaving_entry_does_not_come_back(self, known):
+        known.apply([build_object('a', leaving=True)], [], True, False)
+        known.apply([], ['a'], False, True)
+        assert known.endpoints == {}
+
+    def test_malformed_entry_ends_the_use_of_its_name(self, known):
+        known.apply([build_object('a')], [], True, False)
+        known.apply([build_object('a', slots='x')], [], False, False)
+        assert list_names(known) == []
+
+    def test_version_that_was_seen_later_stays(self, known):
+        known.apply([build_object('a')], [], True, False)
+        known.endpoints['a'].versions['m0'] = 5
+        known.apply([build_object('a')], [], False, False)
+        assert known.endpoints['a'].versions['m0'] == 5
+
+    def test_restarted_endpoint_says_its_version_anew(self, known):
+        known.apply([build_object('a')], [], True, False)
+        known.endpoints['a'].versions['m0'] = 5
+        known.apply([build_object('a', born_ms=9)], [], False, False)
+        assert known.endpoints['a'].versions['m0'] == 3
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -15,10 +15,13 @@
         self.current = None
         self.version = 0
         self.down = False
+        self.stale = None
 
-    async def read(self, kind, name):
+    async def read(self, kind, name, stale=False):
         if self.down:
             raise errors.PlatformUnavailable('down')
+        if stale and self.stale is not None:
+            return self.stale
         return self.current
 
     async def write(self, kind, name, value, expected):
@@ -40,7 +43,9 @@
 @pytest.fixture
 def build_keeper(store, log):
     def build(name, clock):
-        timing = settings.LeaseSettings(duration_s=4.0, renew_s=1.0)
+        timing = settings.LeaseSettings(
+            duration_s=4.0, renew_s=1.0, quiet_s=3.0
+        )
         return lease.LeaseKeeper(name, store, timing, clock, log)
 
     return build
@@ -119,6 +124,73 @@
         await other.step()
         assert other.holds()
 
+    async def test_restarted_holder_takes_its_lease_back_at_once(
+        self, build_keeper, clock
+    ):
+        earlier = build_keeper('a', clock)
+        await earlier.step()
+        keeper = build_keeper('a', clock)
+        await keeper.step()
+        assert keeper.fence > earlier.fence
+        assert keeper.quiet_s == 0.0
+
+    async def test_next_holder_keeps_quiet_after_another_one(
+        self, build_keeper, clock
+    ):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await other.step()
+        clock.time_s += 4.0
+        await other.step()
+        assert other.holds()
+        assert other.quiet_s == 3.0
+
+    async def test_next_holder_keeps_quiet_after_the_last_order(
+        self, build_keeper, clock
+    ):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await holder.release(order_age_s=1.0)
+        await other.step()
+        assert other.holds()
+        assert other.quiet_s == 2.0
+
+    async def test_stale_answer_takes_no_renewed_lease(
+        self, build_keeper, clock, store
+    ):
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        store.stale = store.current
+        await other.step()
+        for _ in range(6):
+            clock.time_s += 1.0
+            await holder.step()
+            await other.step()
+        assert holder.holds()
+        assert not other.holds()
+
+    async def test_failed_renewal_is_tried_again_at_once(
+        self, build_keeper, clock, store, monkeypatch
+    ):
+        waits = []
+
+        class Ended(Exception):
+            pass
+
+        async def sleep(seconds):
+            waits.append(seconds)
+            store.down = len(waits) == 1
+            if len(waits) == 3:
+                raise Ended
+
+        monkeypatch.setattr(lease.asyncio, 'sleep', sleep)
+        monkeypatch.setattr(lease.links, 'jitter', lambda mean_s: mean_s)
+        keeper = build_keeper('a', clock)
+        with pytest.raises(Ended):
+            await keeper.run()
+        assert waits == [1.0, lease.RETRY_S, 1.0]
+        assert keeper.holds()
+
     async def test_other_entries_look_seldom(
         self, build_keeper, clock, monkeypatch
     ):
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_placement.py
@@ -0,0 +1,150 @@
+import types
+
+import pytest
+
+from clementineline.coordination import directory
+from clementineline.coordination import placement
+from clementineline.state import directory as records
+
+
+def build_engine(name, slots=4, running=0, pace_s=None, **versions):
+    state = directory.EndpointState(
+        records.EndpointRecord(
+            id=name,
+            service='lm',
+            address='10.0.0.1:80',
+            zone='walvis-a',
+            slots=slots,
+            leaving=False,
+            cold_s=0.0,
+            versions=versions,
+            born_ms=0,
+        )
+    )
+    state.item_runs = set(range(running))
+    state.pace_s = pace_s
+    return state
+
+
+class TestChooseEngine:
+    def test_least_running_of_those_with_the_version(self):
+        engines = [
+            build_engine('a', running=1, m0=2),
+            build_engine('b', running=0, m0=1),
+            build_engine('c', running=2, m0=2),
+        ]
+        chosen = placement.choose_engine(engines, 'm0', 2, 0.0)
+        assert chosen.id == 'a'
+
+    def test_full_loading_resting_and_excluded_engines_get_nothing(self):
+        full = build_engine('a', slots=1, running=1, m0=2)
+        loading = build_engine('b', m0=2)
+        loading.changing.add('m0')
+        resting = build_engine('c', m0=2)
+        resting.penalty_until = 5.0
+        excluded = build_engine('d', m0=2)
+        engines = [full, loading, resting, excluded]
+        assert placement.choose_engine(engines, 'm0', 2, 0.0, ('d',)) is None
+        assert placement.choose_engine(engines, 'm0', 2, 6.0).id == 'c'
+
+    def test_slow_engine_comes_last(self):
+        slow = build_engine('a', pace_s=0.16, m0=1)
+        fast = build_engine('b', running=3, pace_s=0.04, m0=1)
+        assert placement.choose_engine([slow, fast], 'm0', 1, 0.0) is fast
+
+
+class TestStragglers:
+    def test_slow_engine_loses_runs_only_after_a_while(self):
+        slow = build_engine('a', running=2, pace_s=0.15, m0=1)
+        fast = build_engine('b', pace_s=0.04, m0=1)
+        engines = [slow, fast, build_engine('c', pace_s=0.04, m0=1)]
+
+        def is_faster_elsewhere(now):
+            placement.note_slow_engines(engines, now)
+            return placement.has_faster_engine(slow, engines, 'm0', 1, now)
+
+        assert not is_faster_elsewhere(10.0)
+        assert not is_faster_elsewhere(10.4)
+        assert is_faster_elsewhere(10.6)
+
+    def test_short_slowness_is_forgotten(self):
+        engine = build_engine('a', running=2, pace_s=0.15, m0=1)
+        engines = [engine, build_engine('b', pace_s=0.04, m0=1)]
+        engines.append(build_engine('c', pace_s=0.04, m0=1))
+        placement.note_slow_engines(engines, 10.0)
+        engine.pace_s = 0.05
+        placement.note_slow_engines(engines, 10.3)
+        assert engine.slow_since is None
+
+    def test_no_move_to_a_stale_engine(self):
+        slow = build_engine('a', running=2, pace_s=0.15, m0=2)
+        slow.slow_since = 0.0
+        stale = build_engine('b', pace_s=0.04, m0=1)
+        assert not placement.has_faster_engine(
+            slow, [slow, stale], 'm0', 2, 10.0
+        )
+
+
+class TestOrderWaiting:
+    def test_carried_groups_first_then_the_longest(self):
+        def build(name, carried, hint):
+            item = types.SimpleNamespace(length_hint=hint)
+            return types.SimpleNamespace(name=name, carried=carried, item=item)
+
+        runs = [
+            build('short', False, 1),
+            build('long', False, 9),
+            build('carried', True, 0),
+        ]
+        names = [run.name for run in placement.order_waiting(runs)]
+        assert names == ['carried', 'long', 'short']
+
+
+class TestAssignModels:
+    @pytest.mark.parametrize('count', [2, 5, 6, 7])
+    def test_shares_differ_by_one_at_most(self, count):
+        engines = {f'e{number}': {} for number in range(count)}
+        assignment = placement.assign_models(['m0', 'm1'], engines, {})
+        counts = [
+            list(assignment.values()).count(name) for name in ('m0', 'm1')
+        ]
+        assert abs(counts[0] - counts[1]) <= 1
+
+    def test_a_lost_engine_moves_as_few_as_possible(self):
+        engines = {f'e{number}': {} for number in range(6)}
+        first = placement.assign_models(['m0', 'm1'], engines, {})
+        del engines['e0']
+        second = placement.assign_models(['m0', 'm1'], engines, first)
+        assert {name: first[name] for name in engines} == second
+
+    def test_empty_models_get_nothing(self):
+        assert placement.assign_models([], {'e0': {}}, {}) == {}
+
+
+class TestChooseLoads:
+    def test_engine_that_serves_the_open_step_waits_for_the_lull(self):
+        engine = build_engine('a', m0=1)
+        busy = placement.ModelDemand(waiting=3, version_min=1)
+        busy.version_newest = 1
+        assert not placement.choose_loads([engine], ('m0', 2), busy, 9.0, 0)
+        lull = placement.ModelDemand(0, 0, 1)
+        chosen = placement.choose_loads([engine], ('m0', 2), lull, 0.1, 0)
+        assert chosen == [engine]
+
+    def test_engine_too_old_for_what_waits_loads_at_once(self):
+        engines = [build_engine(name, m0=1) for name in 'abc']
+        demand = placement.ModelDemand(3, 2, 2)
+        chosen = placement.choose_loads(engines, ('m0', 3), demand, 0.0, 2)
+        assert chosen == engines
+
+    def test_few_load_together_in_a_lull(self):
+        engines = [build_engine(name, m0=1) for name in 'abc']
+        lull = placement.ModelDemand(0, 0, 2)
+        chosen = placement.choose_loads(engines, ('m0', 2), lull, 0.0, 1)
+        assert len(chosen) == placement.LOADS_AT_ONCE - 1
+
+    def test_version_nobody_asks_for_is_loaded_in_the_end(self):
+        engine = build_engine('a', m0=1)
+        idle = placement.ModelDemand()
+        assert not placement.choose_loads([engine], ('m0', 3), idle, 0.5, 0)
+        assert placement.choose_loads([engine], ('m0', 3), idle, 2.0, 0)
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from clementineline.coordination import placement
 from clementineline import errors
@@ -54,6 +55,7 @@
         '_pool',
         '_quiet_s',
         '_tasks',
+        'last_order_at',
         'named',
         'wakeup',
     )
@@ -86,6 +88,7 @@
         self._quiet_s = quiet_s
         self._tasks = {}
         self._named_at = {}
+        self.last_order_at = None
         self.named = {}
         self.wakeup = asyncio.Event()
 
@@ -104,6 +107,13 @@
                 self._log.info('version named', model=model, version=version)
         self.wakeup.set()
 
+    @property
+    def order_age_s(self):
+        """How long ago the last order was sent, in seconds."""
+        if self.last_order_at is None:
+            return math.inf
+        return asyncio.get_running_loop().time() - self.last_order_at
+
     async def run(self):
         """Send orders until cancelled."""
         await asyncio.sleep(self._quiet_s)
@@ -237,6 +247,7 @@
             not self._needs_whole(model),
         )
         head, body = self._dialect.build_order_call(order, state.record)
+        self.last_order_at = asyncio.get_running_loop().time()
         status, _ = await self._call(state, head, body)
         outcome = self._dialect.read_order_status(status)
         self._log.info(
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -1,6 +1,7 @@
 """The keeper: one of several leads, owns submissions and orders engines."""
 
 import asyncio
+import math
 import random
 
 from clementineline import clocks
@@ -146,8 +147,9 @@
         await self._lease.run()
 
     async def _resign(self):
+        order_age_s = self._orders.order_age_s if self._orders else math.inf
         await self._stop_leading('resigned')
-        await self._lease.release()
+        await self._lease.release(order_age_s)
 
     def _may_lead(self):
         return self._lease.holds() and not self._stopping
--- /dev/null
+++ b/src/clementineline/platform/tests/test_boundary.py
@@ -0,0 +1,60 @@
+import pathlib
+import re
+
+import clementineline
+
+ROOT = pathlib.Path(clementineline.__file__).parent
+# Names that only the platform's wire uses; common words are left out.
+WIRE_NAMES = (
+    'Expect-Instance',
+    'Kv-Backup',
+    'Kv-From',
+    'Length-Hint',
+    'Not-Executed',
+    'Pin-Ms',
+    'Prompt-Prefix',
+    'Request-Priority',
+    'Server-Load',
+    'Server-Stamp',
+    'Timeout-Ms',
+    'Token-Usage',
+    'Wait-Ms',
+    'Weight-Versions',
+    'api/items',
+    'api/lots',
+    'api/objects',
+    'api/order',
+    'api/ready',
+    'api/report',
+    'coldLeftMs',
+    'currentRev',
+    'fencingToken',
+    'idleTimeoutMs',
+    'kvCapacity',
+    'maxAttempts',
+    'maxQueueS',
+    'minVersion',
+    'morePages',
+    'nodeName',
+    'numRunning',
+    'pathPrefix',
+    'resultDueMs',
+    'singleVersion',
+    'targetLatencyMs',
+    'timeoutMs',
+    'trafficSplit',
+    'waitMs',
+)
+PATTERN = re.compile('|'.join(map(re.escape, WIRE_NAMES)), re.IGNORECASE)
+
+
+class TestBoundary:
+    def test_names_of_the_wire_stand_in_the_adapter_alone(self):
+        found = []
+        for path in ROOT.rglob('*.py'):
+            if 'platform' in path.relative_to(ROOT).parts[:1]:
+                continue
+            for number, line in enumerate(path.read_text().split('\n'), 1):
+                if PATTERN.search(line):
+                    found.append(f'{path.relative_to(ROOT)}:{number}: {line}')
+        assert found == []
--- /dev/null
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -0,0 +1,239 @@
+import json
+
+import pytest
+
+from clementineline import errors
+from clementineline.platform import batches
+from clementineline.platform import calls
+from clementineline.platform import endpoints
+from clementineline.platform import manifest
+from clementineline.platform import settings
+from clementineline.platform.tests import standin
+from clementineline.state import dialect
+from clementineline.state import directory
+from clementineline.state import submissions
+from clementineline.transport import http
+
+ENTRY = {
+    'service': 'desk',
+    'address': '10.0.0.9:8080',
+    'zone': 'walvis-a',
+    'version': 'v1',
+    'slots': 12,
+    'state': 'ready',
+    'coldLeftMs': 500,
+    'models': [{'name': 'm0', 'version': 3, 'adapters': []}],
+    'seq': 4,
+    'born': 1700000000000,
+}
+
+
+@pytest.fixture
+def table():
+    return manifest.decode_manifest(standin.build_manifest())
+
+
+@pytest.fixture
+def endpoint():
+    return endpoints.decode_endpoint('i-1', ENTRY)
+
+
+class TestManifest:
+    def test_route_becomes_the_products(self, table):
+        route = table.find('r-batch')
+        assert route.batch
+        assert route.idempotent
+        assert (route.due_s, route.queue_s) == (7.5, 40.0)
+        assert route.targets[0].service == 'lm'
+        assert table.services['lm'].models == ('m0', 'm1')
+
+    def test_longest_prefix_of_the_host_matches(self):
+        given = standin.build_manifest()
+        longer = dict(given['routes'][0])
+        longer.update(name='r-longer', pathPrefix='/live/x/')
+        given['routes'].append(longer)
+        table = manifest.decode_manifest(given)
+        assert table.match('shop.example', '/live/x/1').name == 'r-longer'
+        assert table.match('shop.example', '/live/y').name == 'r-live'
+        assert table.match('other.example', '/live/y') is None
+        assert table.match('shop.example', '/liv') is None
+
+    def test_split_keeps_its_weights(self):
+        given = standin.build_manifest()
+        given['routes'][0]['trafficSplit'] = [
+            {'service': 'desk', 'weight': 90},
+            {'service': 'lm', 'weight': 10},
+        ]
+        table = manifest.decode_manifest(given)
+        weights = [target.weight for target in table.routes[0].targets]
+        assert weights == [90, 10]
+
+    def test_unsafe_route_may_not_run_twice(self):
+        given = standin.build_manifest()
+        given['routes'][0]['kind'] = 'unsafe'
+        assert not manifest.decode_manifest(given).routes[0].idempotent
+
+    def test_malformed_manifest_is_an_error(self):
+        with pytest.raises(errors.PlatformError, match='version'):
+            manifest.decode_manifest({'routes': [], 'services': []})
+
+
+class TestEndpoints:
+    def test_entry_becomes_a_record(self, endpoint):
+        assert endpoint.versions == {'m0': 3}
+        assert (endpoint.cold_s, endpoint.leaving) == (0.5, False)
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': 'resting'},
+            {'slots': '12'},
+            {'slots': 0},
+            {'address': 'nowhere'},
+            {'service': None},
+            {'models': 'none'},
+        ],
+    )
+    def test_malformed_entry_names_no_server(self, change):
+        assert endpoints.decode_endpoint('i-1', {**ENTRY, **change}) is None
+
+    def test_missing_field_names_no_server(self):
+        for name in ('service', 'address', 'zone', 'slots', 'state'):
+            entry = {key: ENTRY[key] for key in ENTRY if key != name}
+            assert endpoints.decode_endpoint('i-1', entry) is None
+
+    def test_order_carries_fence_holder_and_expected_count(self, endpoint):
+        order = dialect.EngineOrder('i-1', 'm0', 4, 'vm-1', 9, 2, True)
+        head, body = endpoints.build_order_call(order, endpoint)
+        assert (b'Expect-Instance', b'i-1') in head.headers
+        assert json.loads(body) == {
+            'operation': 'version',
+            'model': 'm0',
+            'version': 4,
+            'mode': 'keep',
+            'holder': 'vm-1',
+            'fencingToken': 9,
+            'expected': 2,
+        }
+
+    def test_report_is_read(self):
+        report = endpoints.decode_report(
+            b'{"stage":"both","models":[{"name":"m0","version":1}],'
+            b'"busy":true,"seq":2,"numWaiting":1,"numRunning":12,'
+            b'"kvUsed":41,"kvTotal":90,"handles":0}'
+        )
+        assert report == directory.EngineReport(
+            {'m0': 1}, True, 2, 12, 1, 41, 90
+        )
+
+    def test_malformed_report_is_an_error(self):
+        with pytest.raises(errors.ProtocolError):
+            endpoints.decode_report(b'{"models":1}')
+
+
+class TestCalls:
+    def test_own_headers_replace_the_callers(self, endpoint):
+        head = http.Head(
+            b'POST',
+            b'/live/1?q',
+            (
+                (b'Host', b'shop.example'),
+                (b'Request-Id', b'r1'),
+                (b'Timeout-Ms', b'900'),
+                (b'Expect-Instance', b'i-other'),
+                (b'Connection', b'keep-alive'),
+                (b'X-Mine', b'1'),
+            ),
+        )
+        sent = calls.build_call(head, endpoint, 0.5)
+        assert sent.target == b'/live/1?q'
+        assert sorted(sent.headers) == [
+            (b'Expect-Instance', b'i-1'),
+            (b'Host', b'shop.example'),
+            (b'Request-Id', b'r1'),
+            (b'Timeout-Ms', b'500'),
+            (b'X-Mine', b'1'),
+        ]
+
+    def test_refusal_without_run_is_read(self):
+        facts = calls.read_reply(
+            (
+                (b'Not-Executed', b'1'),
+                (b'Request-Id', b'r1'),
+                (b'Server-Load', b'3,2,8,250'),
+            )
+        )
+        assert facts.not_run
+        assert (facts.running, facts.waiting) == (3, 2)
+        assert facts.slowness == 2.5
+
+    def test_malformed_load_says_nothing(self):
+        facts = calls.read_reply(((b'Server-Load', b'x,2'),))
+        assert facts.running is None
+
+
+class TestBatches:
+    def test_calls_about_submissions_are_told_apart(self):
+        def read(method, target, headers=()):
+            return batches.read_batch_call(
+                http.Head(method, target, tuple(headers))
+            )
+
+        call = read(b'GET', b'/api/lots/s1?after=12', ((b'Wait-Ms', b'5000'),))
+        assert (call.submission_id, call.after, call.wait_s) == ('s1', 12, 1.0)
+        assert read(b'GET', b'/api/items/s1?id=i1').item_id == 'i1'
+        assert read(b'DELETE', b'/api/lots/s1').verb is dialect.BatchVerb.END
+        assert read(b'POST', b'/batch/s1') is None
+
+    def test_malformed_submission_names_the_field(self, table):
+        facts = dialect.CallFacts('s1', 'shop.example', '/batch/s1', None)
+        with pytest.raises(errors.RequestError, match='items'):
+            batches.decode_submission(
+                facts, table.find('r-batch'), 'lm', b'{"items":3}', 1.0
+            )
+
+    def test_page_has_the_wires_names(self):
+        page = submissions.ResultPage(
+            2,
+            1,
+            (submissions.Result('i1', 'completed', 'a\nb', (6, 7)),),
+        )
+        assert json.loads(batches.encode_page(page)) == {
+            'total': 2,
+            'next': 1,
+            'results': [
+                {
+                    'id': 'i1',
+                    'state': 'completed',
+                    'text': 'a\nb',
+                    'versions': [6, 7],
+                }
+            ],
+        }
+
+
+class TestSettings:
+    def test_unknown_fields_are_ignored(self, tmp_path):
+        path = tmp_path / 'node.json'
+        path.write_text(
+            json.dumps(
+                {
+                    'nodeName': 'store-1',
+                    'ip': '10.0.0.1',
+                    'zone': 'walvis-a',
+                    'later': {'x': 1},
+                    'portRange': [7720, 7735],
+                    'platform': {'address': '10.9.9.9:80', 'form': 'objects'},
+                    'bounds': {'leaseMs': 2500, 'statusS': 10},
+                }
+            )
+        )
+        loaded = settings.load_keeper_settings(str(path))
+        assert loaded.listen == '10.0.0.1:7720'
+        assert loaded.lease.quiet_s == 2.5
+
+    def test_missing_field_is_named(self, tmp_path):
+        path = tmp_path / 'node.json'
+        path.write_text('{"nodeName": "a"}')
+        with pytest.raises(errors.SettingsError, match='node.json'):
+            settings.load_gateway_settings(str(path))
--- /dev/null
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -0,0 +1,194 @@
+import asyncio
+
+import pytest
+
+from clementineline.coordination import connections
+from clementineline.coordination import directory
+from clementineline.coordination import forwarding
+from clementineline.platform import dialect
+from clementineline.platform.tests import standin
+from clementineline.protocol import verdicts
+from clementineline.state import directory as records
+from clementineline.state import routes
+from clementineline.transport import http
+
+
+def build_state(name, zone='walvis-a', slots=4, address='10.0.0.1:80'):
+    return directory.EndpointState(
+        records.EndpointRecord(
+            name, 'desk', address, zone, slots, False, 0.0, {}, 0
+        )
+    )
+
+
+def build_route(**changes):
+    fields = {
+        'name': 'r',
+        'host': 'shop.example',
+        'prefix': '/live/',
+        'idempotent': True,
+        'streamed': False,
+        'resumable': False,
+        'batch': False,
+        'timeout_s': 0.8,
+        'aim_s': 0.19,
+        'priority': 2,
+        'attempts_max': 2,
+        'targets': (routes.Target('desk', 1.0),),
+        **changes,
+    }
+    return routes.Route(**fields)
+
+
+class TestChooseEndpoint:
+    def test_least_loaded_of_the_own_zone(self):
+        states = [build_state(name) for name in 'abc']
+        states[0].in_flight = 2
+        states[1].in_flight = 1
+        chosen = forwarding.choose_endpoint(states, ['c'], 'walvis-a', 0.0)
+        assert chosen.id == 'b'
+
+    def test_resting_endpoint_is_better_than_none(self):
+        state = build_state('a')
+        state.penalty_until = 9.0
+        other = build_state('b')
+        other.in_flight = 40
+        choose = forwarding.choose_endpoint
+        assert choose([state, other], [], 'walvis-a', 0.0) is other
+        assert choose([state], [], 'walvis-a', 0.0) is state
+
+    def test_old_load_reports_are_forgotten(self):
+        state = build_state('a')
+        state.load = 8
+        state.load_at = 10.0
+        assert state.estimate_load(10.5) == 2.0
+        assert state.estimate_load(12.0) == 0.0
+
+
+class TestChooseService:
+    @pytest.mark.parametrize(
+        ('draw', 'service'), [(0.0, 'a'), (0.89, 'a'), (0.91, 'b')]
+    )
+    def test_weights_share_the_draws(self, draw, service):
+        targets = (routes.Target('a', 90), routes.Target('b', 10))
+        assert forwarding.choose_service(targets, draw) == service
+
+
+@pytest.fixture
+async def desk(log, clock):
+    """Two servers of a service and a forwarder before them."""
+
+    class Desk:
+        def __init__(self):
+            self.servers = []
+            self.known = directory.Directory(lambda n, v: v, clock, log)
+            self.forwarder = forwarding.CallForwarder(
+                self.known,
+                connections.ConnectionPool(),
+                dialect.WireDialect(),
+                'walvis-a',
+                log,
+            )
+
+        async def start(self, name):
+            server = standin.ServerStandIn(log, name)
+            await server.start()
+            self.servers.append(server)
+            self.known.endpoints[name] = build_state(
+                name, address=server.address
+            )
+            return server
+
+        async def forward(self, route, limit_s=0.8, request_id='r1'):
+            head = http.Head(
+                b'POST',
+                b'/live/x',
+                (
+                    (b'Host', b'shop.example'),
+                    (b'Request-Id', request_id.encode()),
+                ),
+            )
+            facts = dialect.WireDialect.read_call(head)
+            loop = asyncio.get_running_loop()
+            return await self.forwarder.forward(
+                route, head, b'q', facts, loop.time() + limit_s
+            )
+
+        @property
+        def runs(self):
+            return [len(server.runs) for server in self.servers]
+
+    built = Desk()
+    yield built
+    for server in built.servers:
+        await server.stop()
+
+
+class TestAttempts:
+    async def test_refused_call_runs_elsewhere(self, desk):
+        first, second = await desk.start('a'), await desk.start('b')
+        first.shed = True
+        for number in range(6):
+            verdict = await desk.forward(
+                build_route(idempotent=False), request_id=f'r{number}'
+            )
+            assert verdict.status == 200
+        assert desk.runs == [0, 6]
+        assert len({run[0] for run in second.runs}) == 6
+
+    async def test_lost_answer_is_final_for_what_may_run_once(self, desk):
+        server = await desk.start('a')
+        await desk.start('b')
+        for server in desk.servers:
+            server.delay_s = 5.0
+        verdict = await desk.forward(
+            build_route(idempotent=False), limit_s=0.3
+        )
+        assert isinstance(verdict, verdicts.MayHaveRun)
+        assert sum(desk.runs) == 1
+
+    async def test_slow_idempotent_call_is_asked_elsewhere(self, desk):
+        slow, _ = await desk.start('a'), await desk.start('b')
+        slow.delay_s = 5.0
+        for number in range(4):
+            verdict = await desk.forward(
+                build_route(), request_id=f'r{number}'
+            )
+            assert verdict.status == 200
+
+    async def test_no_more_endpoints_than_the_route_allows(self, desk):
+        for name in 'abcd':
+            server = await desk.start(name)
+            server.fail_next = 9
+        verdict = await desk.forward(build_route())
+        assert verdict.status == 500
+        assert sum(desk.runs) == 2
+
+    async def test_answer_to_another_request_is_not_passed_on(
+        self, desk, wait_until
+    ):
+        server = await desk.start('a')
+        server.extra = (
+            b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\n'
+            b'Server-Stamp: x\r\nContent-Length: 4\r\n\r\nevil'
+        )
+        for number in range(3):
+            verdict = await desk.forward(
+                build_route(attempts_max=1), request_id=f'r{number}'
+            )
+            assert not isinstance(verdict, verdicts.Answered) or (
+                verdict.body == b'answer to q'
+            )
+
+    async def test_nothing_known_is_not_run(self, desk):
+        verdict = await desk.forward(build_route())
+        assert isinstance(verdict, verdicts.NotRun)
+        assert verdict.retry_after_s > 0
+
+    async def test_caller_that_leaves_stops_the_server(self, desk, wait_until):
+        server = await desk.start('a')
+        server.delay_s = 60
+        call = asyncio.create_task(desk.forward(build_route(), limit_s=30))
+        await wait_until(lambda: server.runs)
+        call.cancel()
+        await wait_until(lambda: server.server.connections == 0)
--- /dev/null
+++ b/src/clementineline/platform/tests/test_objects.py
@@ -0,0 +1,129 @@
+import asyncio
+
+import pytest
+
+from clementineline import errors
+from clementineline.platform import objects
+from clementineline.platform.tests import standin
+from clementineline.transport import frames
+
+
+@pytest.fixture
+async def store(log):
+    started = standin.StoreStandIn(log)
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+def client(store, log):
+    return objects.ObjectStore(frames.parse_address(store.address), log)
+
+
+class TestWrites:
+    async def test_create_and_replace_are_conditional(self, store, client):
+        version = await client.write('lease', 'a', {'x': 1}, 0)
+        with pytest.raises(errors.WriteConflict):
+            await client.write('lease', 'a', {'x': 2}, 0)
+        newer = await client.write('lease', 'a', {'x': 3}, version)
+        assert newer > version
+        with pytest.raises(errors.WriteConflict):
+            await client.write('lease', 'a', {'x': 4}, version)
+        found = await client.read('lease', 'a')
+        assert (found.value['x'], found.version) == (3, newer)
+
+    async def test_lost_answer_is_resolved_by_reading(self, store, client):
+        store.lose_writes = 1
+        version = await client.write('lease', 'a', {'x': 1}, 0)
+        assert version == store.objects[('lease', 'a')]['metadata']['revision']
+        assert len([c for c in store.calls if c[0] == 'POST']) == 1
+
+    async def test_late_write_stays_ambiguous(self, store, client):
+        store.hold_writes = 1
+        with pytest.raises(errors.AmbiguousWrite):
+            await client.write('lease', 'a', {'x': 1}, 0)
+        store.apply_late()
+        with pytest.raises(errors.WriteConflict):
+            await client.write('lease', 'a', {'x': 1}, 0)
+
+    async def test_status_is_replaced_apart(self, store, client):
+        store.put('retirements', 'n', {'durationS': 1})
+        assert await client.write_status('retirements', 'n', {'state': 'x'})
+        assert store.get_status('retirements', 'n') == {'state': 'x'}
+        assert store.get_spec('retirements', 'n') == {'durationS': 1}
+        assert not await client.write_status('retirements', 'o', {})
+
+
+class TestLists:
+    async def test_pages_are_read_to_the_end(self, store, client):
+        store.page_size = 2
+        for number in range(5):
+            store.put('servers', f's{number}', {'n': number})
+        page = await client.list_objects('servers')
+        assert [found.name for found in page.objects] == [
+            f's{number}' for number in range(5)
+        ]
+
+    async def test_unreadable_value_is_an_empty_one(self, store, client):
+        store.put('servers', 's', 'not an object')
+        page = await client.list_objects('servers')
+        assert page.objects[0].value == {}
+
+    async def test_watch_tells_changes_and_removals(self, store, client):
+        store.put('servers', 'a', {})
+        since = store.revision
+        store.put('servers', 'b', {})
+        store.remove('servers', 'a')
+        page = await client.watch('servers', since, 1.0)
+        assert [found.name for found in page.objects] == ['b']
+        assert page.removed == ['a']
+
+    async def test_forgotten_history_is_said(self, store, client):
+        since = store.revision
+        store.put('servers', 'a', {})
+        store.forget_history()
+        with pytest.raises(errors.HistoryGone):
+            await client.watch('servers', since, 1.0)
+
+
+class TestOutage:
+    async def test_refused_call_is_unavailable(self, store, client):
+        store.down = True
+        with pytest.raises(errors.PlatformUnavailable):
+            await client.read('lease', 'a')
+        assert not client.reachable
+
+    async def test_relay_carries_calls_until_the_store_is_back(
+        self, store, client, monkeypatch, wait_until
+    ):
+        monkeypatch.setattr(objects, 'PROBE_INTERVAL_S', 0.02)
+        relayed = []
+
+        async def relay(method, path, body, timeout_s):
+            relayed.append((method, path))
+            return 404, b''
+
+        client.relay = relay
+        store.down = True
+        assert await client.read('lease', 'a') is None
+        assert relayed == [('GET', '/lease/a')]
+        store.down = False
+        await wait_until(lambda: client.reachable)
+        store.put('lease', 'a', {'x': 1})
+        assert (await client.read('lease', 'a')).value == {'x': 1}
+        assert len(relayed) == 1
+
+    async def test_write_without_an_answer_is_not_relayed(self, store, client):
+        calls = []
+
+        async def relay(method, path, body, timeout_s):
+            calls.append(method)
+            await asyncio.sleep(0)
+            return 404, b''
+
+        client.relay = relay
+        store.hold_writes = 1
+        with pytest.raises(errors.AmbiguousWrite):
+            await client.write('lease', 'a', {'x': 1}, 0)
+        assert calls == ['GET']
--- /dev/null
+++ b/src/clementineline/transport/tests/test_http.py
@@ -0,0 +1,210 @@
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from clementineline import errors
+from clementineline.transport import frames
+from clementineline.transport import http
+
+
+async def answer_bytes(data, close='orderly', delay_s=0.0):
+    """Serve one connection with fixed bytes; returns its address."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(data)
+        await writer.drain()
+        if close == 'orderly':
+            writer.close()
+        elif close == 'reset':
+            await asyncio.sleep(0.02)
+            sock = writer.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    return server, frames.Address('127.0.0.1', port)
+
+
+async def exchange(address):
+    client = await http.connect(address, 1.0)
+    client.send_request(
+        http.Head(b'GET', b'/x', ((b'Host', b'h.example'),)), b''
+    )
+    reply = await client.receive_head()
+    return client, reply, await client.receive_body(1000)
+
+
+async def serve_requests(handle, log, **limits):
+    """Start a server; returns ``(server, address)``."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        port = sock.getsockname()[1]
+    server = http.Server(handle, http.ServerLimits(**limits), log)
+    address = frames.Address('127.0.0.1', port)
+    await server.start(address)
+    return server, address
+
+
+async def send_raw(address, data):
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    answer = await reader.read(65536)
+    writer.close()
+    return answer
+
+
+class TestClient:
+    async def test_whole_response_leaves_the_connection_usable(self):
+        _, address = await answer_bytes(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok', close='none'
+        )
+        client, reply, body = await exchange(address)
+        assert (reply.status_code, body) == (200, b'ok')
+        assert client.reusable
+
+    async def test_extra_bytes_end_the_connection(self):
+        _, address = await answer_bytes(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK',
+            close='none',
+        )
+        client, _, body = await exchange(address)
+        assert body == b'ok'
+        assert not client.reusable
+
+    async def test_truncated_response_is_an_error(self):
+        _, address = await answer_bytes(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok'
+        )
+        with pytest.raises(errors.ProtocolError):
+            await exchange(address)
+
+    async def test_unframed_response_is_whole_after_an_orderly_end(self):
+        _, address = await answer_bytes(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+        _, _, body = await exchange(address)
+        assert body == b'all of it'
+
+    async def test_unframed_response_that_is_reset_is_an_error(self):
+        _, address = await answer_bytes(
+            b'HTTP/1.1 200 OK\r\n\r\npart', close='reset'
+        )
+        with pytest.raises(errors.ProtocolError):
+            await exchange(address)
+
+    async def test_bytes_that_are_no_response_are_an_error(self):
+        _, address = await answer_bytes(b'\x00\x01garbage\r\n\r\n')
+        with pytest.raises(errors.ProtocolError):
+            await exchange(address)
+
+
+class TestServer:
+    @pytest.mark.parametrize(
+        'framing',
+        [
+            b'Content-Length: 3\r\nContent-Length: 4\r\n',
+            b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+        ],
+    )
+    async def test_ambiguous_framing_is_refused(self, log, framing):
+        handled = []
+
+        async def handle(incoming):
+            handled.append(incoming)
+            incoming.respond(200)
+
+        _, address = await serve_requests(handle, log)
+        answer = await send_raw(
+            address,
+            b'POST /x HTTP/1.1\r\nHost: h\r\n' + framing + b'\r\nabcd',
+        )
+        assert answer.startswith(b'HTTP/1.1 400')
+        assert handled == []
+
+    async def test_target_and_chunked_body_arrive_byte_for_byte(self, log):
+        handled = []
+
+        async def handle(incoming):
+            handled.append((incoming.head.target, incoming.body))
+            incoming.respond(200, (), b'done')
+
+        _, address = await serve_requests(handle, log)
+        answer = await send_raw(
+            address,
+            b'POST /a%2Fb//c?d=%20 HTTP/1.1\r\nHost: h\r\n'
+            b'Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n'
+            b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+        )
+        assert answer.endswith(b'done')
+        assert handled == [(b'/a%2Fb//c?d=%20', b'abcde')]
+
+    async def test_body_over_the_limit_is_413(self, log):
+        async def handle(incoming):
+            incoming.respond(200)
+
+        _, address = await serve_requests(handle, log, body_bytes=3)
+        answer = await send_raw(
+            address,
+            b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd',
+        )
+        assert answer.startswith(b'HTTP/1.1 413')
+
+    async def test_caller_that_leaves_cancels_its_request(self, log):
+        cancelled = asyncio.Event()
+        started = asyncio.Event()
+
+        async def handle(incoming):
+            started.set()
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        _, address = await serve_requests(handle, log)
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        await started.wait()
+        writer.close()
+        async with asyncio.timeout(5):
+            await cancelled.wait()
+
+    async def test_draining_server_answers_and_closes(self, log):
+        release = asyncio.Event()
+        started = asyncio.Event()
+
+        async def handle(incoming):
+            started.set()
+            await release.wait()
+            incoming.respond(200, (), b'whole')
+
+        server, address = await serve_requests(handle, log)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        await started.wait()
+        server.stop()
+        draining = asyncio.create_task(server.drain(5.0))
+        await asyncio.sleep(0)
+        release.set()
+        answer = await reader.read(65536)
+        await draining
+        assert b'Connection: close' in answer
+        assert answer.endswith(b'whole')
+
+
+class TestConnectionHeaders:
+    def test_named_by_connection_are_dropped(self):
+        kept = http.strip_connection_headers(
+            (
+                (b'Connection', b'close, X-Hop'),
+                (b'X-Hop', b'1'),
+                (b'Keep-Alive', b'timeout=3'),
+                (b'X-End', b'2'),
+            )
+        )
+        assert kept == [(b'X-End', b'2')]
