--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -48,6 +48,7 @@
         'address',
         'fence',
         'holder',
+        'interrupted',
         'known_fence',
         'known_holder',
         'quiet_s',
@@ -76,6 +77,8 @@
         self.fence = 0
         self.known_fence = 0
         self.known_holder = ''
+        # Whether somebody else may have held it since it was held here.
+        self.interrupted = True
         self._released_quiet_s = 0.0
         self.quiet_s = 0.0
 
@@ -112,6 +115,8 @@
             self.known_holder = current.value['holder']
             self.known_fence = current.value['fence'] or current.version
             self._released_quiet_s = current.value.get('quiet_s', 0.0)
+        if self.known_holder != self.holder:
+            self.interrupted = True
         # A stale answer may be older than what was seen before.
         if version > self._version or self._observed_at is None:
             self._version = version
@@ -139,6 +144,7 @@
             version = await self._write(fence=0)
         except errors.WriteConflict:
             self._observed_at = None
+            self.interrupted = True
             return
         self.quiet_s = self._released_quiet_s
         if self.known_holder not in ('', self.holder):
@@ -148,6 +154,7 @@
         self.fence = version
         self.known_fence = version
         self.known_holder = self.holder
+        self.interrupted = False
         self._extend(started)
         self._log.info('lease acquired', fence=version, holder=self.holder)
 
@@ -157,6 +164,7 @@
             self._version = await self._write(fence=self.fence)
         except errors.WriteConflict as error:
             self._log.warning('lease lost', reason=str(error))
+            self.interrupted = True
             self._forget()
             return
         self._extend(started)
@@ -196,6 +204,7 @@
             'quiet_s': max(0.0, self._settings.quiet_s - order_age_s),
         }
         self._valid_until = 0.0
+        self.interrupted = True
         try:
             await self._platform.write(
                 LEASE_KIND, LEASE_NAME, value, self._version
--- a/src/clementineline/coordination/members.py
+++ b/src/clementineline/coordination/members.py
@@ -30,17 +30,28 @@
 
     :param name: name of this process
     :param address: ``HOST:PORT`` at which it answers
+    :param keeps: whether it may own submissions
     :param store: the client of the platform's store
     :param log: logger
     """
 
-    __slots__ = ('_address', '_log', '_name', '_store', 'others')
-
-    def __init__(self, name, address, store, log):
+    __slots__ = (
+        '_address',
+        '_keeps',
+        '_log',
+        '_name',
+        '_store',
+        'keepers',
+        'others',
+    )
+
+    def __init__(self, name, address, keeps, store, log):
         self._name = name
         self._address = address
+        self._keeps = keeps
         self._store = store
         self._log = log
+        self.keepers = set()
         self.others = {}
 
     async def run(self):
@@ -59,13 +70,21 @@
 
     def _take(self, objects):
         others = {}
+        keepers = set()
         for found in objects:
             address = found.value.get('address')
             if found.name == self._name or not isinstance(address, str):
                 continue
             others[found.name] = address
+            if found.value.get('keeps'):
+                keepers.add(found.name)
         if others:
             self.others = others
+            self.keepers = keepers
+
+    def list_keepers(self):
+        """Return the names of the other keepers, in order."""
+        return sorted(self.keepers)
 
     async def _register(self):
         try:
@@ -76,7 +95,7 @@
             await self._store.write(
                 MEMBERS_KIND,
                 self._name,
-                {'address': self._address},
+                {'address': self._address, 'keeps': self._keeps},
                 current.version if current else 0,
             )
         except errors.PlatformError as error:
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -13,6 +13,7 @@
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
 from clementineline.coordination import placement
+from clementineline.coordination import texts
 from clementineline import errors
 from clementineline.state import submissions
 
@@ -28,8 +29,6 @@
 REFUSED_PAUSE_S = 0.05
 BROKEN_PAUSE_S = 0.05
 MOVES_MAX = 2
-# Texts of items whose submission has ended, for a later one with their ids.
-KEPT_TEXTS_MAX = 4000
 
 
 class OpenSubmission:
@@ -108,17 +107,21 @@
     :param get_routes: function that returns the route table in force
     :param may_lead: function that returns whether the lease is held
     :param log: logger
+    :param retain_s: how long a submission is kept, in seconds
+    :param shelf: the :class:`~texts.TextShelf`
+    :param mirror: the :class:`~texts.TextMirror`
     """
 
     __slots__ = (
         '_dialect',
         '_directory',
         '_get_routes',
-        '_kept_texts',
         '_ledger',
         '_log',
         '_may_lead',
+        '_mirror',
         '_pool',
+        '_shelf',
         '_tasks',
         '_wakeup',
         'known',
@@ -136,6 +139,8 @@
         may_lead,
         log,
         retain_s,
+        shelf,
+        mirror,
     ):
         self._ledger = steps_ledger
         self._directory = directory
@@ -144,7 +149,8 @@
         self._get_routes = get_routes
         self._may_lead = may_lead
         self._log = log
-        self._kept_texts = collections.OrderedDict()
+        self._shelf = shelf
+        self._mirror = mirror
         self._tasks = set()
         self._wakeup = asyncio.Event()
         self.open = {}
@@ -166,7 +172,7 @@
                 entry = OpenSubmission(submission, ended)
                 self.open[submission.id] = entry
                 if not ended:
-                    self._spawn(self._start(entry))
+                    self._spawn(self._start(entry, not self.known))
             elif ended and not entry.ended:
                 self._end(entry)
         for name in removed:
@@ -198,7 +204,11 @@
                     entry.add_chunk(chunk)
                 entry.loaded = True
 
-    async def _start(self, entry):
+    async def _start(self, entry, inherited):
+        """Run a submission.
+
+        :param inherited: whether another owner may have begun it
+        """
         submission = entry.submission
         age_s = time.time() - submission.accepted_at
         while not entry.loaded:
@@ -211,6 +221,10 @@
                 await asyncio.sleep(APPEND_RETRY_S)
         if entry.ended:
             return
+        if inherited and not entry.complete:
+            await self._mirror.gather([submission.id], self._shelf)
+        if entry.ended:
+            return
         for item in submission.items:
             if item.id in entry.positions:
                 continue
@@ -244,17 +258,18 @@
         self.wake()
 
     def _reuse_text(self, submission, run):
-        kept = self._kept_texts.pop(run.item.id, None)
+        kept = self._shelf.take(run.item.id)
         if kept is None:
             return
-        run.carried = True
-        if min(kept.versions, default=0) < submission.version_min:
-            return
-        if not kept.texts:
+        run.carried = kept.submission_id != submission.id
+        if not kept.events:
             return
+        if submission.model:
+            if min(kept.versions, default=0) < submission.version_min:
+                return
         if self._is_single_version(submission) and not kept.whole:
             return
-        run.texts = list(kept.texts)
+        run.texts = list(kept.events)
         run.versions = list(kept.versions)
         run.whole = kept.whole
 
@@ -294,8 +309,6 @@
             if run.task is not None:
                 run.task.cancel()
         self._keep_texts(entry)
-        while len(self._kept_texts) > KEPT_TEXTS_MAX:
-            self._kept_texts.popitem(last=False)
         entry.waiting.clear()
         if entry.writer is not None:
             entry.writer.cancel()
@@ -310,21 +323,31 @@
 
     def _keep_texts(self, entry):
         """Keep what is held of groups that are not whole."""
+        submission_id = entry.submission.id
         groups = {item.id: item.group for item in entry.submission.items}
         broken = {groups[item_id] for item_id in entry.runs}
         broken.update(groups[item_id] for item_id in entry.finished)
-        for run in entry.runs.values():
-            self._kept_texts[run.item.id] = run
+        for item_id, run in entry.runs.items():
+            kept = texts.KeptText(submission_id, run.texts, run.versions)
+            self._shelf.put(item_id, kept)
         for result in [*entry.results, *entry.finished.values()]:
             if groups.get(result.item_id) not in broken:
                 continue
             if result.state != submissions.COMPLETED:
                 continue
-            kept = itemruns.ItemRun(None)
-            kept.texts = [result.text]
-            kept.versions = list(result.versions)
-            kept.whole = True
-            self._kept_texts[result.item_id] = kept
+            kept = texts.KeptText(
+                submission_id, [result.text], list(result.versions), True
+            )
+            self._shelf.put(result.item_id, kept)
+
+    def list_runs(self):
+        """Return ``(submission id, run)`` of the unfinished items."""
+        found = []
+        for entry in self.open.values():
+            if not entry.ended:
+                for run in entry.runs.values():
+                    found.append((entry.submission.id, run))
+        return found
 
     # Running items.
 
@@ -332,10 +355,12 @@
         """Start what can run until cancelled."""
         while True:
             self._wakeup.clear()
+            # Items run on while the lease cannot be renewed: they may run
+            # more than once, and positions are the ledger's.
             if self._may_lead():
                 self._give_up_old()
-                self._move_stragglers()
-                self._start_waiting()
+            self._move_stragglers()
+            self._start_waiting()
             try:
                 async with asyncio.timeout(TICK_S):
                     await self._wakeup.wait()
@@ -661,7 +686,10 @@
         return True, find_body(entry.submission, entry.positions, item_id)
 
     async def stop(self):
-        """Cancel all runs and writers."""
+        """Cancel all runs and writers, and keep what is held of the items."""
+        for entry in self.open.values():
+            if not entry.ended:
+                self._keep_texts(entry)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -0,0 +1,102 @@
+import types
+
+import pytest
+
+from clementineline.coordination import members
+from clementineline.coordination import texts
+from clementineline.protocol import asking
+from clementineline.state import questions
+from clementineline.transport import frames
+
+
+def build_part(first, events, item_id='i1'):
+    return questions.TextPart('s1', item_id, first, events, [1])
+
+
+class TestTextShelf:
+    def test_parts_join_in_order(self):
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a', 'b']))
+        shelf.extend(build_part(2, ['c']))
+        assert shelf.take('i1').events == ['a', 'b', 'c']
+        assert shelf.take('i1') is None
+
+    def test_part_after_a_gap_is_left_out(self):
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a']))
+        shelf.extend(build_part(2, ['c']))
+        assert shelf.take('i1').events == ['a']
+
+    def test_shorter_text_replaces_no_longer_one(self):
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a', 'b', 'c']))
+        shelf.extend(build_part(0, ['a']))
+        assert shelf.take('i1').events == ['a', 'b', 'c']
+
+    def test_whole_text_replaces_and_stays(self):
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a', 'b', 'c']))
+        shelf.put('i1', texts.KeptText('s1', ['a\nb'], [1], True))
+        shelf.extend(build_part(0, ['a', 'b', 'c', 'd']))
+        assert shelf.take('i1').whole
+
+    def test_oldest_make_room(self, monkeypatch):
+        monkeypatch.setattr(texts, 'TEXTS_MAX', 2)
+        shelf = texts.TextShelf()
+        for name in 'abc':
+            shelf.extend(build_part(0, ['x'], name))
+        assert shelf.take('a') is None
+        assert shelf.take('c') is not None
+
+
+@pytest.fixture
+async def keepers(log):
+    """Two keepers' shelves behind sockets, and a member list of them."""
+    known = members.Members('me', '127.0.0.1:1', True, None, log)
+    shelves = {}
+    servers = []
+    for name in ('k1', 'k2'):
+        shelf = shelves[name] = texts.TextShelf()
+
+        async def serve(stream, shelf=shelf):
+            async def answer(question):
+                return texts.answer_texts(shelf, question)
+
+            await asking.serve_questions(stream, questions.Question, answer)
+
+        server = await frames.start_server(
+            frames.Address('127.0.0.1', 0), serve
+        )
+        servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        known.others[name] = f'127.0.0.1:{port}'
+        known.keepers.add(name)
+    yield known, shelves
+    for server in servers:
+        server.close()
+
+
+class TestTextMirror:
+    async def test_new_owner_gathers_the_longest(self, keepers, log):
+        known, shelves = keepers
+        shelves['k1'].extend(build_part(0, ['a']))
+        shelves['k2'].extend(build_part(0, ['a', 'b']))
+        shelves['k2'].put('i2', texts.KeptText('other', ['x'], [1]))
+        known.others['dead'] = '127.0.0.1:9'
+        known.keepers.add('dead')
+        own = texts.TextShelf()
+        await texts.TextMirror(known, log).gather(['s1'], own)
+        assert own.take('i1').events == ['a', 'b']
+        assert own.take('i2') is None
+
+    async def test_only_what_has_grown_is_sent(self, keepers, log):
+        known, _ = keepers
+        mirror = texts.TextMirror(known, log)
+        item = types.SimpleNamespace(id='i1')
+        run = types.SimpleNamespace(item=item, texts=['a'], versions=[1])
+        first = mirror._collect([('s1', run)])
+        run.texts.extend(['b', 'c'])
+        second = mirror._collect([('s1', run)])
+        assert (first[0].first, first[0].events) == (0, ['a'])
+        assert (second[0].first, second[0].events) == (1, ['b', 'c'])
+        assert mirror._collect([('s1', run)]) == []
--- /dev/null
+++ b/src/clementineline/coordination/texts.py
@@ -0,0 +1,212 @@
+"""Texts of unfinished items, kept for whoever goes on with them.
+
+An item of a hundred events runs for seconds; a new owner that began it anew
+would miss its trainer's time. The owner sends what has grown to the other
+keepers, and a new owner asks them all. Nothing depends on it: an item whose
+text is lost only begins again.
+"""
+
+import asyncio
+import collections
+
+import msgspec
+
+from clementineline import errors
+from clementineline.protocol import asking
+from clementineline.state import questions
+from clementineline.transport import frames
+
+__all__ = ['KeptText', 'TextMirror', 'TextShelf', 'answer_texts']
+
+# Of a few kilobytes each: 20 MB at the most.
+TEXTS_MAX = 4000
+MIRROR_INTERVAL_S = 0.4
+# A member that is cut off or frozen must not hold a new owner up.
+GATHER_TIMEOUT_S = 0.4
+COPIES_MAX = 2
+
+
+class KeptText(msgspec.Struct):
+    """What is held of an item.
+
+    :param events: data of its events from the first on
+    :param versions: versions that made them, in order of first use
+    :param whole: whether these are all its events
+    """
+
+    submission_id: str
+    events: list[str]
+    versions: list[int]
+    whole: bool = False
+
+
+class TextShelf:
+    """Texts by item id; the oldest make room."""
+
+    __slots__ = ('_texts',)
+
+    def __init__(self):
+        self._texts = collections.OrderedDict()
+
+    def put(self, item_id, text):
+        """Keep a text unless a longer one is held."""
+        held = self._texts.get(item_id)
+        if held is not None:
+            if held.whole or len(held.events) > len(text.events):
+                if not text.whole:
+                    return
+        self._texts[item_id] = text
+        self._texts.move_to_end(item_id)
+        while len(self._texts) > TEXTS_MAX:
+            self._texts.popitem(last=False)
+
+    def extend(self, part):
+        """Add what has grown; a part with a gap before it is left out.
+
+        :param part: a :class:`~questions.TextPart`
+        """
+        held = self._texts.get(part.item_id)
+        events = held.events if held else []
+        if part.first > len(events):
+            return
+        text = KeptText(
+            part.submission_id,
+            [*events[: part.first], *part.events],
+            part.versions,
+        )
+        self.put(part.item_id, text)
+
+    def take(self, item_id):
+        """Return a text and forget it; None if none is held."""
+        return self._texts.pop(item_id, None)
+
+    def list_texts(self, submission_ids):
+        """Return the texts of some submissions, by item id."""
+        wanted = set(submission_ids)
+        found = {}
+        for item_id, text in self._texts.items():
+            if text.submission_id in wanted and text.events:
+                found[item_id] = text
+        return found
+
+
+class TextMirror:
+    """Sends growing texts to other keepers, and gathers what they hold.
+
+    :param members: the :class:`~members.Members`
+    :param log: logger
+    """
+
+    __slots__ = ('_askers', '_log', '_members', '_sent')
+
+    def __init__(self, members, log):
+        self._members = members
+        self._log = log
+        self._askers = {}
+        self._sent = {}
+
+    async def run(self, list_runs):
+        """Send what grows until cancelled.
+
+        :param list_runs: function that returns ``(submission id, run)`` of
+            the unfinished items
+        """
+        while True:
+            await asyncio.sleep(MIRROR_INTERVAL_S)
+            await self.send(list_runs())
+
+    async def send(self, runs):
+        """Send what has grown.
+
+        :param runs: ``(submission id, run)`` of the unfinished items
+        """
+        parts = self._collect(runs)
+        if not parts:
+            return
+        sends = []
+        for name in self._members.list_keepers()[:COPIES_MAX]:
+            sends.append(self._ask(name, questions.KeepTexts(parts)))
+        await asyncio.gather(*sends)
+
+    def _collect(self, runs):
+        """Return what has grown since the last time."""
+        parts = []
+        sent = {}
+        for submission_id, run in runs:
+            count = len(run.texts)
+            first = self._sent.get(run.item.id, 0)
+            sent[run.item.id] = count
+            if count <= first:
+                continue
+            parts.append(
+                questions.TextPart(
+                    submission_id,
+                    run.item.id,
+                    first,
+                    run.texts[first:],
+                    list(run.versions),
+                )
+            )
+        self._sent = sent
+        return parts
+
+    async def gather(self, submission_ids, shelf):
+        """Ask all keepers for the texts of some submissions.
+
+        :param shelf: the :class:`TextShelf` that takes them
+        """
+        question = questions.ReadTexts(list(submission_ids))
+        names = self._members.list_keepers()
+        answers = await asyncio.gather(
+            *(self._ask(name, question) for name in names)
+        )
+        count = 0
+        for answer in answers:
+            if not isinstance(answer, questions.TextsAnswer):
+                continue
+            for part in answer.parts:
+                shelf.extend(part)
+                count += 1
+        self._log.info('texts gathered', members=len(names), texts=count)
+
+    async def _ask(self, name, question):
+        """Ask a keeper; None if it does not answer in time."""
+        asker = self._askers.get(name)
+        if asker is None:
+            address = self._members.others.get(name)
+            if address is None:
+                return None
+            asker = asking.Asker(
+                frames.parse_address(address), questions.Answer
+            )
+            self._askers[name] = asker
+        try:
+            async with asyncio.timeout(GATHER_TIMEOUT_S):
+                return await asker.ask(question, GATHER_TIMEOUT_S)
+        except (errors.ProtocolError, TimeoutError) as error:
+            self._log.info('keeper not asked', member=name, reason=repr(error))
+            self._askers.pop(name, None)
+            asker.close()
+            return None
+
+
+def answer_texts(shelf, question):
+    """Answer a question about kept texts.
+
+    :param question: a :class:`~questions.KeepTexts` or
+        :class:`~questions.ReadTexts`
+    """
+    if isinstance(question, questions.KeepTexts):
+        for part in question.parts:
+            shelf.extend(part)
+        return questions.TextsAnswer([])
+    parts = []
+    for item_id, text in shelf.list_texts(question.submission_ids).items():
+        if text.whole:
+            continue
+        parts.append(
+            questions.TextPart(
+                text.submission_id, item_id, 0, text.events, text.versions
+            )
+        )
+    return questions.TextsAnswer(parts)
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -87,7 +87,11 @@
             self._handle_ready, http.ServerLimits(), log
         )
         self._members = members.Members(
-            settings.name, settings.listen, store, log
+            settings.name,
+            settings.listen,
+            False,
+            store,
+            log,
         )
         store.relay = members.StoreRelay(self._members, log).call
         self._stopping = False
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -13,6 +13,7 @@
 from clementineline.coordination import members
 from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
+from clementineline.coordination import texts
 from clementineline.coordination import versions
 from clementineline.daemons import tasks
 from clementineline import errors
@@ -68,9 +69,15 @@
             address=settings.listen,
         )
         self._members = members.Members(
-            settings.name, settings.listen, store, log
+            settings.name,
+            settings.listen,
+            True,
+            store,
+            log,
         )
         store.relay = members.StoreRelay(self._members, log).call
+        self._shelf = texts.TextShelf()
+        self._mirror = texts.TextMirror(self._members, log)
         self._owner = None
         self._orders = None
         self._retiring = set()
@@ -148,7 +155,9 @@
 
     async def _resign(self):
         order_age_s = self._orders.order_age_s if self._orders else math.inf
+        runs = self._owner.list_runs() if self._owner else []
         await self._stop_leading('resigned')
+        await self._mirror.send(runs)
         await self._lease.release(order_age_s)
 
     def _may_lead(self):
@@ -157,11 +166,10 @@
     async def _lead(self):
         try:
             while True:
-                leads = self._may_lead()
-                if leads and self._owner is None:
+                if self._owner is None and self._may_lead():
                     self._start_leading()
-                elif not leads and self._owner is not None:
-                    await self._stop_leading('the lease is not held')
+                elif self._owner is not None and self._lease.interrupted:
+                    await self._stop_leading('another keeper may lead')
                 await asyncio.sleep(LEAD_CHECK_S)
         finally:
             await self._stop_leading('the task ended')
@@ -176,6 +184,8 @@
             self._may_lead,
             self._log,
             self._settings.retain_s,
+            self._shelf,
+            self._mirror,
         )
         orders = versions.VersionKeeper(
             self._settings.name,
@@ -214,6 +224,7 @@
             self._tasks.keep(named.run, 'versions'),
             self._tasks.keep(owner.run, 'steps'),
             self._tasks.keep(orders.run, 'orders'),
+            self._tasks.start(self._mirror.run(owner.list_runs), 'mirror'),
         ]
         self._log.info('leading', fence=self._lease.fence)
 
@@ -237,6 +248,8 @@
     async def _answer(self, question):
         if isinstance(question, questions.RelayCall):
             return await members.answer_relay(self._store, question)
+        if isinstance(question, questions.KeepTexts | questions.ReadTexts):
+            return texts.answer_texts(self._shelf, question)
         owner = self._owner
         if owner is None or not owner.known or not self._may_lead():
             return questions.NotLeading(self._lease.known_holder)
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -203,6 +203,54 @@
         assert results[: len(first)] == first
         assert len({result['id'] for result in results}) == 40
 
+    async def test_next_keeper_goes_on_with_the_text(self, served, wait_until):
+        # quiet-1 of wbm-smoke: items of 5 s began anew after a change of
+        # the leader, and missed their step.
+        engines = [served.servers['i-lm0'], served.servers['i-lm1']]
+        for engine in engines:
+            engine.events, engine.gap_s = 30, 0.05
+        gateway = served.gateways['gateway-1']
+        first = served.find_leader()
+        await wait_until(lambda: served.keepers[first]._members.keepers)
+        await served.submit(gateway, 's1')
+        await wait_until(
+            lambda: (
+                all(
+                    len(run.texts) > 5
+                    for _, run in served.keepers[first]._owner.list_runs()
+                )
+                and served.keepers[first]._owner.list_runs()
+            )
+        )
+        await served.keepers[first].stop()
+        await wait_until(lambda: served.find_leader() not in (None, first))
+        await served.read_all(gateway, 's1', 4)
+        resumed = []
+        for engine in engines:
+            for _, headers, _ in engine.runs:
+                resumed.append(int(headers.get('last-event-id', 0)))
+        assert len(resumed) == 8
+        assert sorted(resumed)[4] > 0
+        served.keepers.pop(first)
+
+    async def test_items_run_on_while_the_store_is_out(
+        self, served, wait_until
+    ):
+        engines = [served.servers['i-lm0'], served.servers['i-lm1']]
+        for engine in engines:
+            engine.events, engine.gap_s = 30, 0.05
+        gateway = served.gateways['gateway-1']
+        leader = served.keepers[served.find_leader()]
+        await served.submit(gateway, 's1')
+        await wait_until(lambda: leader._owner.list_runs())
+        served.store.down = True
+        await wait_until(lambda: not leader._lease.holds())
+        entry = leader._owner.open['s1']
+        await wait_until(lambda: len(entry.finished) == 4)
+        served.store.down = False
+        assert len(await served.read_all(gateway, 's1', 4)) == 4
+        assert sum(len(engine.runs) for engine in engines) == 4
+
     async def test_results_are_read_from_the_ledger_without_a_leader(
         self, served, wait_until
     ):
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -7,14 +7,18 @@
 __all__ = [
     'Answer',
     'BodyAnswer',
+    'KeepTexts',
     'NotLeading',
     'PageAnswer',
     'Question',
     'ReadBody',
     'ReadResults',
+    'ReadTexts',
     'RelayAnswer',
     'RelayCall',
     'RelayFailed',
+    'TextPart',
+    'TextsAnswer',
     'Unknown',
 ]
 
@@ -82,7 +86,45 @@
     ambiguous: bool
 
 
-Question = ReadResults | ReadBody | RelayCall
+class TextPart(msgspec.Struct, frozen=True):
+    """Events of an unfinished item.
+
+    :param first: how many events stand before them
+    :param versions: versions that made all events up to the last one
+    """
+
+    submission_id: str
+    item_id: str
+    first: int
+    events: list[str]
+    versions: list[int]
+
+
+class KeepTexts(msgspec.Struct, frozen=True, tag='keep_texts'):
+    """Asks to keep what has grown."""
+
+    parts: list[TextPart]
+
+
+class ReadTexts(msgspec.Struct, frozen=True, tag='read_texts'):
+    """Asks for the texts of some submissions."""
+
+    submission_ids: list[str]
+
+
+class TextsAnswer(msgspec.Struct, frozen=True, tag='texts'):
+    """Texts that are held."""
+
+    parts: list[TextPart]
+
+
+Question = ReadResults | ReadBody | RelayCall | KeepTexts | ReadTexts
 Answer = (
-    NotLeading | Unknown | PageAnswer | BodyAnswer | RelayAnswer | RelayFailed
+    NotLeading
+    | Unknown
+    | PageAnswer
+    | BodyAnswer
+    | RelayAnswer
+    | RelayFailed
+    | TextsAnswer
 )
