Give a holder its time again after an outage, and hand finished texts on

Cause: as the store came back another keeper took the lease before its holder could renew (test_items_run_on_while_the_store_is_out failed so); time in which a contender could not read no longer counts.

--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -94,6 +94,8 @@
             except errors.PlatformError as error:
                 self._log.info('lease not renewed', reason=str(error))
                 self._drop_lapsed()
+                # Nobody could renew meanwhile: its time counts anew.
+                self._observed_at = None
                 if self.fence:
                     await asyncio.sleep(RETRY_S)
                     continue
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -328,7 +328,9 @@
         broken = {groups[item_id] for item_id in entry.runs}
         broken.update(groups[item_id] for item_id in entry.finished)
         for item_id, run in entry.runs.items():
-            kept = texts.KeptText(submission_id, run.texts, run.versions)
+            kept = texts.KeptText(
+                submission_id, list(run.texts), list(run.versions)
+            )
             self._shelf.put(item_id, kept)
         for result in [*entry.results, *entry.finished.values()]:
             if groups.get(result.item_id) not in broken:
@@ -340,6 +342,12 @@
             )
             self._shelf.put(result.item_id, kept)
 
+    def keep_texts(self):
+        """Keep what is held of all open submissions."""
+        for entry in self.open.values():
+            if not entry.ended:
+                self._keep_texts(entry)
+
     def list_runs(self):
         """Return ``(submission id, run)`` of the unfinished items."""
         found = []
@@ -687,9 +695,7 @@
 
     async def stop(self):
         """Cancel all runs and writers, and keep what is held of the items."""
-        for entry in self.open.values():
-            if not entry.ended:
-                self._keep_texts(entry)
+        self.keep_texts()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -191,6 +191,33 @@
         assert waits == [1.0, lease.RETRY_S, 1.0]
         assert keeper.holds()
 
+    async def test_outage_gives_the_holder_its_time_again(
+        self, build_keeper, clock, store, monkeypatch
+    ):
+        # Store out for 5 s: another keeper took the lease as the store came
+        # back, before its holder could renew it.
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await other.step()
+
+        class Ended(Exception):
+            pass
+
+        async def sleep(seconds):
+            raise Ended
+
+        monkeypatch.setattr(lease.asyncio, 'sleep', sleep)
+        store.down = True
+        clock.time_s += 5.0
+        with pytest.raises(Ended):
+            await other.run()
+        store.down = False
+        await other.step()
+        assert not other.holds()
+        await holder.step()
+        assert holder.holds()
+        assert not holder.interrupted
+
     async def test_other_entries_look_seldom(
         self, build_keeper, clock, monkeypatch
     ):
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -65,6 +65,12 @@
 
         :param part: a :class:`~questions.TextPart`
         """
+        if part.whole:
+            text = KeptText(
+                part.submission_id, part.events, part.versions, True
+            )
+            self.put(part.item_id, text)
+            return
         held = self._texts.get(part.item_id)
         events = held.events if held else []
         if part.first > len(events):
@@ -202,11 +208,14 @@
         return questions.TextsAnswer([])
     parts = []
     for item_id, text in shelf.list_texts(question.submission_ids).items():
-        if text.whole:
-            continue
         parts.append(
             questions.TextPart(
-                text.submission_id, item_id, 0, text.events, text.versions
+                text.submission_id,
+                item_id,
+                0,
+                text.events,
+                text.versions,
+                text.whole,
             )
         )
     return questions.TextsAnswer(parts)
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -249,6 +249,8 @@
         if isinstance(question, questions.RelayCall):
             return await members.answer_relay(self._store, question)
         if isinstance(question, questions.KeepTexts | questions.ReadTexts):
+            if self._owner is not None:
+                self._owner.keep_texts()
             return texts.answer_texts(self._shelf, question)
         owner = self._owner
         if owner is None or not owner.known or not self._may_lead():
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -91,6 +91,7 @@
 
     :param first: how many events stand before them
     :param versions: versions that made all events up to the last one
+    :param whole: whether the events are one joined text, and all of it
     """
 
     submission_id: str
@@ -98,6 +99,7 @@
     first: int
     events: list[str]
     versions: list[int]
+    whole: bool = False
 
 
 class KeepTexts(msgspec.Struct, frozen=True, tag='keep_texts'):
