--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -26,6 +26,8 @@
 LOADS_AT_ONCE = 2
 # Trainers submit a step within a second of naming its version, as a rule.
 LOAD_PATIENCE_S = 1.5
+# Until a trainer's submissions have shown what it accepts.
+DEFAULT_VERSIONS_BEHIND = 1
 
 
 def choose_engine(candidates, model, version_min, now, excluded=()):
@@ -150,8 +152,9 @@
 def choose_loads(engines, named, demand, named_age_s, loading):
     """Choose the engines that load a model's named version now.
 
-    A load stops new starts on its engine for about a second, so an engine
-    that may still run what is open loads only once all of it has started.
+    A load stops new starts on its engine for about a second. So an engine
+    that may still run what is open, and the step that comes next, loads only
+    once all of it has started; one that is too old for either loads at once.
 
     :param engines: :class:`~directory.EndpointState` assigned to the model,
         without those that load already
@@ -162,29 +165,28 @@
     :returns: list of engines
     """
     model, version = named
-    behind = []
+    next_min = version - demand.versions_behind
+    chosen = []
+    later = []
     for state in engines:
         held = state.versions.get(model, 0)
         if held >= version:
             continue
-        urgent = held < demand.version_min
-        if not urgent and not _is_lull(demand, version, named_age_s):
-            continue
-        behind.append((not urgent, len(state.item_runs), state.id, state))
-    behind.sort(key=lambda entry: entry[:3])
-    chosen = []
-    for not_urgent, _, _, state in behind:
-        if not_urgent and loading + len(chosen) >= LOADS_AT_ONCE:
-            break
-        chosen.append(state)
-    return chosen
+        needed = held < demand.version_min
+        if needed or (held < next_min and not demand.waiting):
+            chosen.append(state)
+        elif _is_lull(demand, next_min, named_age_s):
+            later.append(state)
+    later.sort(key=lambda state: (len(state.item_runs), state.id))
+    free = max(0, LOADS_AT_ONCE - loading - len(chosen))
+    return chosen + later[:free]
 
 
-def _is_lull(demand, version, named_age_s):
+def _is_lull(demand, next_min, named_age_s):
     if demand.waiting:
         return False
     # The step that is submitted for this version has started.
-    if demand.version_newest >= version - 1:
+    if demand.version_newest >= next_min:
         return True
     return named_age_s > LOAD_PATIENCE_S
 
@@ -195,11 +197,25 @@
     :param waiting: items that wait for an engine
     :param version_min: oldest version that all unfinished items accept
     :param version_newest: largest ``version_min`` of an open submission
+    :param versions_behind: how far below the named version the trainer's
+        submissions still accept
     """
 
-    __slots__ = ('version_min', 'version_newest', 'waiting')
+    __slots__ = (
+        'version_min',
+        'version_newest',
+        'versions_behind',
+        'waiting',
+    )
 
-    def __init__(self, waiting=0, version_min=0, version_newest=0):
+    def __init__(
+        self,
+        waiting=0,
+        version_min=0,
+        version_newest=0,
+        versions_behind=DEFAULT_VERSIONS_BEHIND,
+    ):
+        self.versions_behind = versions_behind
         self.waiting = waiting
         self.version_min = version_min
         self.version_newest = version_newest
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -125,6 +125,7 @@
         '_tasks',
         '_wakeup',
         'known',
+        'on_submission',
         'open',
         'retain_s',
     )
@@ -151,6 +152,8 @@
         self._log = log
         self._shelf = shelf
         self._mirror = mirror
+        # Called with each new submission.
+        self.on_submission = lambda submission: None
         self._tasks = set()
         self._wakeup = asyncio.Event()
         self.open = {}
@@ -221,6 +224,8 @@
                 await asyncio.sleep(APPEND_RETRY_S)
         if entry.ended:
             return
+        if not inherited:
+            self.on_submission(submission)
         if inherited and not entry.complete:
             await self._mirror.gather([submission.id], self._shelf)
         if entry.ended:
@@ -294,8 +299,8 @@
             submission = entry.submission
             if entry.ended or submission.model != model:
                 continue
-            newest = max(demand.version_newest, submission.version_min)
-            demand.version_newest = newest
+            if submission.version_min > demand.version_newest:
+                demand.version_newest = submission.version_min
             if not entry.waiting and entry.loaded:
                 continue
             demand.waiting += len(entry.waiting) or 1
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import collections
 import math
+import statistics
 
 from clementineline.coordination import placement
 from clementineline import errors
@@ -20,6 +22,10 @@
 ORDER_RETRY_S = 0.3
 # A load takes about a second, several at once longer.
 LOAD_TIMEOUT_S = 8.0
+# An engine's report is some hundred milliseconds old; until it must show an
+# order that was accepted, the order is not sent again.
+ORDER_SHOWN_S = 1.2
+BEHIND_NOTED = 3
 
 
 class VersionKeeper:
@@ -41,7 +47,9 @@
     """
 
     __slots__ = (
+        '_accepted',
         '_assignment',
+        '_behind',
         '_dialect',
         '_directory',
         '_get_demand',
@@ -74,7 +82,9 @@
         quiet_s,
         log,
     ):
+        self._accepted = {}
         self._assignment = {}
+        self._behind = {}
         self._dialect = dialect
         self._directory = directory
         self._get_demand = get_demand
@@ -152,16 +162,35 @@
             for name, assigned in assignment.items():
                 if assigned == model and name not in self._tasks:
                     behind.append(engines[name])
+            demand = self._get_demand(model)
+            demand.versions_behind = self._get_versions_behind(model)
             chosen = placement.choose_loads(
                 behind,
                 (model, self.named[model]),
-                self._get_demand(model),
+                demand,
                 now - self._named_at[model],
                 len(self._tasks),
             )
             for state in chosen:
                 self._start_order(state, model)
 
+    def note_submission(self, submission):
+        """Note how old a version a trainer's new submission accepts."""
+        named = self.named.get(submission.model)
+        if named is None:
+            return
+        noted = self._behind.setdefault(
+            submission.model, collections.deque(maxlen=BEHIND_NOTED)
+        )
+        noted.append(max(0, named - submission.version_min))
+
+    def _get_versions_behind(self, model):
+        noted = self._behind.get(model)
+        if not noted:
+            return placement.DEFAULT_VERSIONS_BEHIND
+        # One that was seen before its version does not count.
+        return statistics.median_high(noted)
+
     def _assign(self, service, engines):
         earlier = self._assignment.get(service.name, {})
         assignment = placement.assign_models(
@@ -194,6 +223,7 @@
     async def _bring(self, state, model):
         """Bring an engine to the newest version of a model."""
         deadline = asyncio.get_running_loop().time() + LOAD_TIMEOUT_S
+        self._accepted.pop(state.id, None)
         version = self.named[model]
         try:
             while asyncio.get_running_loop().time() < deadline:
@@ -231,7 +261,7 @@
                 version=held,
             )
             return True
-        if report.changing:
+        if report.changing or self._is_unshown(state, report):
             await asyncio.sleep(REPORT_PAUSE_S)
             return False
         if not self._lease.holds():
@@ -263,9 +293,22 @@
         )
         if outcome is dialects.OrderOutcome.ANOTHER_ENDPOINT:
             return True
+        if outcome is dialects.OrderOutcome.ACCEPTED:
+            now = asyncio.get_running_loop().time()
+            self._accepted[state.id] = (order.orders_accepted, now)
         await asyncio.sleep(REPORT_PAUSE_S)
         return False
 
+    def _is_unshown(self, state, report):
+        """Whether a report is older than the order that was accepted."""
+        accepted = self._accepted.get(state.id)
+        if accepted is None:
+            return False
+        count, at = accepted
+        if report.orders_accepted > count:
+            return False
+        return asyncio.get_running_loop().time() - at < ORDER_SHOWN_S
+
     async def _read_report(self, state):
         head = self._dialect.build_report_call(state.record)
         status, body = await self._call(state, head, b'')
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -217,6 +217,7 @@
             self._clock,
             self._log,
         )
+        owner.on_submission = orders.note_submission
         self._owner = owner
         self._orders = orders
         self._leading = [
