Join only events of one run in kept texts

Parts of an item's text from two owners' runs, or of a later submission's run, were joined by position alone. Each run now has an id; a part goes on only with the text of its own run.

--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import uuid
 
 from clementineline import errors
 from clementineline.state import submissions
@@ -33,6 +34,7 @@
 
     :param item: the :class:`~submissions.Item`
     :param carried: whether its group was begun in an earlier submission
+    :param run_id: names the last run, and so what its events go on from
     :param texts: data of the events that are held
     :param versions: versions that made them, in order of first use
     :param failures: runs that the engine answered as failed
@@ -45,6 +47,7 @@
 
     item: submissions.Item
     carried: bool = False
+    run_id: str = ''
     texts: list = dataclasses.field(default_factory=list)
     versions: list = dataclasses.field(default_factory=list)
     whole: bool = False
@@ -86,6 +89,7 @@
     except errors.ConnectionLost as error:
         return RunEnd.UNREACHED, str(error)
     ended = False
+    run.run_id = uuid.uuid4().hex
     try:
         head = dialect.build_item_call(
             submission, run.item, state.record, len(run.texts)
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -334,7 +334,10 @@
         broken.update(groups[item_id] for item_id in entry.finished)
         for item_id, run in entry.runs.items():
             kept = texts.KeptText(
-                submission_id, list(run.texts), list(run.versions)
+                submission_id,
+                run.run_id,
+                list(run.texts),
+                list(run.versions),
             )
             self._shelf.put(item_id, kept)
         for result in [*entry.results, *entry.finished.values()]:
@@ -343,7 +346,11 @@
             if result.state != submissions.COMPLETED:
                 continue
             kept = texts.KeptText(
-                submission_id, [result.text], list(result.versions), True
+                submission_id,
+                '',
+                [result.text],
+                list(result.versions),
+                True,
             )
             self._shelf.put(result.item_id, kept)
 
--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -9,8 +9,8 @@
 from clementineline.transport import frames
 
 
-def build_part(first, events, item_id='i1'):
-    return questions.TextPart('s1', item_id, first, events, [1])
+def build_part(first, events, item_id='i1', run_id='r1', submission='s1'):
+    return questions.TextPart(submission, item_id, run_id, first, events, [1])
 
 
 class TestTextShelf:
@@ -33,10 +33,26 @@
         shelf.extend(build_part(0, ['a']))
         assert shelf.take('i1').events == ['a', 'b', 'c']
 
+    def test_events_of_two_runs_do_not_join(self):
+        # Hunt on wbm-smoke, store-troubles, seed 517899397980: ORDER broken,
+        # since parts of another owner's run were added to a kept text.
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a', 'b', 'c'], run_id='r1'))
+        shelf.extend(build_part(2, ['c', 'd', 'e'], run_id='r2'))
+        assert shelf.take('i1').events == ['a', 'b', 'c']
+
+    def test_later_submission_replaces_a_longer_text(self):
+        shelf = texts.TextShelf()
+        shelf.extend(build_part(0, ['a', 'b', 'c']))
+        shelf.extend(build_part(0, ['a'], run_id='r2', submission='s2'))
+        shelf.extend(build_part(1, ['b'], run_id='r2', submission='s2'))
+        kept = shelf.take('i1')
+        assert (kept.submission_id, kept.events) == ('s2', ['a', 'b'])
+
     def test_whole_text_replaces_and_stays(self):
         shelf = texts.TextShelf()
         shelf.extend(build_part(0, ['a', 'b', 'c']))
-        shelf.put('i1', texts.KeptText('s1', ['a\nb'], [1], True))
+        shelf.put('i1', texts.KeptText('s1', '', ['a\nb'], [1], True))
         shelf.extend(build_part(0, ['a', 'b', 'c', 'd']))
         assert shelf.take('i1').whole
 
@@ -81,7 +97,7 @@
         known, shelves = keepers
         shelves['k1'].extend(build_part(0, ['a']))
         shelves['k2'].extend(build_part(0, ['a', 'b']))
-        shelves['k2'].put('i2', texts.KeptText('other', ['x'], [1]))
+        shelves['k2'].put('i2', texts.KeptText('other', 'r', ['x'], [1]))
         known.others['dead'] = '127.0.0.1:9'
         known.keepers.add('dead')
         own = texts.TextShelf()
@@ -93,10 +109,16 @@
         known, _ = keepers
         mirror = texts.TextMirror(known, log)
         item = types.SimpleNamespace(id='i1')
-        run = types.SimpleNamespace(item=item, texts=['a'], versions=[1])
+        run = types.SimpleNamespace(
+            item=item, run_id='r1', texts=['a'], versions=[1]
+        )
         first = mirror._collect([('s1', run)])
         run.texts.extend(['b', 'c'])
         second = mirror._collect([('s1', run)])
         assert (first[0].first, first[0].events) == (0, ['a'])
         assert (second[0].first, second[0].events) == (1, ['b', 'c'])
         assert mirror._collect([('s1', run)]) == []
+        run.run_id = 'r2'
+        run.texts.append('d')
+        (again,) = mirror._collect([('s1', run)])
+        assert (again.first, again.events) == (0, ['a', 'b', 'c', 'd'])
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -29,12 +29,14 @@
 class KeptText(msgspec.Struct):
     """What is held of an item.
 
+    :param run_id: the run that made the last of its events
     :param events: data of its events from the first on
     :param versions: versions that made them, in order of first use
     :param whole: whether these are all its events
     """
 
     submission_id: str
+    run_id: str
     events: list[str]
     versions: list[int]
     whole: bool = False
@@ -49,36 +51,40 @@
         self._texts = collections.OrderedDict()
 
     def put(self, item_id, text):
-        """Keep a text unless a longer one is held."""
+        """Keep a text unless more of it is held for the same submission."""
         held = self._texts.get(item_id)
-        if held is not None:
-            if held.whole or len(held.events) > len(text.events):
-                if not text.whole:
-                    return
+        if held is not None and held.submission_id == text.submission_id:
+            if held.whole:
+                return
+            if not text.whole and len(held.events) > len(text.events):
+                return
         self._texts[item_id] = text
         self._texts.move_to_end(item_id)
         while len(self._texts) > TEXTS_MAX:
             self._texts.popitem(last=False)
 
     def extend(self, part):
-        """Add what has grown; a part with a gap before it is left out.
+        """Add what has grown.
+
+        A part goes on only with the text of its own run: where two owners
+        ran an item, their events do not join.
 
         :param part: a :class:`~questions.TextPart`
         """
-        if part.whole:
-            text = KeptText(
-                part.submission_id, part.events, part.versions, True
-            )
-            self.put(part.item_id, text)
-            return
-        held = self._texts.get(part.item_id)
-        events = held.events if held else []
-        if part.first > len(events):
-            return
+        events = part.events
+        if part.first:
+            held = self._texts.get(part.item_id)
+            if held is None or held.run_id != part.run_id:
+                return
+            if part.first > len(held.events):
+                return
+            events = [*held.events[: part.first], *events]
         text = KeptText(
             part.submission_id,
-            [*events[: part.first], *part.events],
+            part.run_id,
+            events,
             part.versions,
+            part.whole,
         )
         self.put(part.item_id, text)
 
@@ -140,14 +146,17 @@
         sent = {}
         for submission_id, run in runs:
             count = len(run.texts)
-            first = self._sent.get(run.item.id, 0)
-            sent[run.item.id] = count
+            run_id, first = self._sent.get(run.item.id, ('', 0))
+            if run_id != run.run_id:
+                first = 0
+            sent[run.item.id] = (run.run_id, count)
             if count <= first:
                 continue
             parts.append(
                 questions.TextPart(
                     submission_id,
                     run.item.id,
+                    run.run_id,
                     first,
                     run.texts[first:],
                     list(run.versions),
@@ -212,6 +221,7 @@
             questions.TextPart(
                 text.submission_id,
                 item_id,
+                text.run_id,
                 0,
                 text.events,
                 text.versions,
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -89,6 +89,8 @@
 class TextPart(msgspec.Struct, frozen=True):
     """Events of an unfinished item.
 
+    :param run_id: the run that made the last of them; events of different
+        runs join only where one run was asked to go on after the other
     :param first: how many events stand before them
     :param versions: versions that made all events up to the last one
     :param whole: whether the events are one joined text, and all of it
@@ -96,6 +98,7 @@
 
     submission_id: str
     item_id: str
+    run_id: str
     first: int
     events: list[str]
     versions: list[int]
