--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -41,6 +41,7 @@
     :param not_before: loop time before which it is not run, in seconds
     :param avoid: ids of engines that it was moved away from
     :param moves: how often it was moved to a faster engine
+    :param started_at: loop time of its last start, in seconds
     :param moving: whether its task was cancelled to go on elsewhere
     :param task: its running task, or None
     """
@@ -56,6 +57,7 @@
     not_before: float = 0.0
     avoid: set = dataclasses.field(default_factory=set)
     moves: int = 0
+    started_at: float = 0.0
     moving: bool = False
     state: object = None
     task: asyncio.Task | None = None
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -18,6 +18,8 @@
 SAFETY_SHARE = 0.25
 # A holder whose renewal failed tries again at once: its time runs out.
 RETRY_S = 0.05
+# A holder finds the store within a second of its return.
+RENEWAL_GRACE_S = 1.2
 # Entries that are no candidates look at the lease this much less often.
 OTHERS_FACTOR = 20
 
@@ -37,6 +39,7 @@
 
     __slots__ = (
         '_clock',
+        '_failed_at',
         '_is_candidate',
         '_log',
         '_observed_at',
@@ -72,6 +75,7 @@
         self._log = log
         self._is_candidate = is_candidate
         self._version = 0
+        self._failed_at = None
         self._observed_at = None
         self._valid_until = 0.0
         self.fence = 0
@@ -94,8 +98,7 @@
             except errors.PlatformError as error:
                 self._log.info('lease not renewed', reason=str(error))
                 self._drop_lapsed()
-                # Nobody could renew meanwhile: its time counts anew.
-                self._observed_at = None
+                self._failed_at = self._clock.now()
                 if self.fence:
                     await asyncio.sleep(RETRY_S)
                     continue
@@ -128,6 +131,10 @@
         if not self._is_free(current):
             if now - self._observed_at < self._settings.duration_s:
                 return
+            if self._failed_at is not None:
+                # Its holder could not renew it either.
+                if now - self._failed_at < RENEWAL_GRACE_S:
+                    return
         await self._acquire()
 
     def _is_free(self, current):
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -16,6 +16,7 @@
     'has_faster_engine',
     'note_slow_engines',
     'order_waiting',
+    'share_engines',
 ]
 
 # An engine this much slower than the best free one loses its runs to it: the
@@ -26,6 +27,8 @@
 LOADS_AT_ONCE = 2
 # Trainers submit a step within a second of naming its version, as a rule.
 LOAD_PATIENCE_S = 1.5
+# Work as it is seen varies from step to step by a third or so.
+SHARE_HYSTERESIS = 0.8
 # Until a trainer's submissions have shown what it accepts.
 DEFAULT_VERSIONS_BEHIND = 1
 
@@ -118,35 +121,71 @@
     )
 
 
-def assign_models(models, engines, previous):
-    """Share engines among models evenly, and move as few as possible.
+def share_engines(count, work, previous):
+    """Return how many engines each model should get.
 
-    :param models: names of the models that trainers use
+    Each model gets one at least, the rest goes by work. Shares change only
+    when one is off by more than rounding explains: each change costs loads.
+
+    :param count: number of engines
+    :param work: dict from model to its work, in any one unit
+    :param previous: the last shares, dict from model to engines
+    :returns: dict from model to engines
+    """
+    models = sorted(work)
+    if not models:
+        return {}
+    total = sum(work.values())
+    ideal = {}
+    for model in models:
+        part = work[model] / total if total else 1 / len(models)
+        ideal[model] = max(min(1.0, count / len(models)), count * part)
+    if set(previous) == set(models) and sum(previous.values()) == count:
+        off = max(abs(previous[name] - ideal[name]) for name in models)
+        if off <= SHARE_HYSTERESIS:
+            return previous
+    shares = {model: int(ideal[model]) for model in models}
+    # More models than engines, or a minimum that others have to give for.
+    while sum(shares.values()) > count:
+        most = max(models, key=lambda name: (shares[name], name))
+        shares[most] -= 1
+    while sum(shares.values()) < count:
+        short = max(
+            models, key=lambda name: (ideal[name] - shares[name], name)
+        )
+        shares[short] += 1
+    return shares
+
+
+def assign_models(shares, engines, previous):
+    """Assign engines to models by share, and move as few as possible.
+
+    :param shares: dict from model to its number of engines
     :param engines: dict from engine id to its versions by model
     :param previous: the last assignment, dict from engine id to model
     :returns: dict from engine id to model
     """
-    if not models:
-        return {}
-    share = math.ceil(len(engines) / len(models))
-    counts = dict.fromkeys(models, 0)
+    left = dict(shares)
     assignment = {}
     for engine in sorted(engines):
         model = previous.get(engine)
-        if model in counts and counts[model] < share:
+        if left.get(model, 0) > 0:
             assignment[engine] = model
-            counts[model] += 1
-    free = [engine for engine in sorted(engines) if engine not in assignment]
-    for engine in free:
+            left[model] -= 1
+    for engine in sorted(engines):
+        if engine in assignment:
+            continue
+        wanting = [model for model in sorted(left) if left[model] > 0]
+        if not wanting:
+            break
         versions = engines[engine]
-        # The fewest engines first, then the newest version it already has.
-        model = min(
-            models,
-            key=lambda name: (counts[name], -versions.get(name, 0), name),
+        # The one that lacks most, then the newest version already there.
+        model = max(
+            wanting, key=lambda name: (left[name], versions.get(name, 0))
         )
         assignment[engine] = model
-        counts[model] += 1
-    return _balance(assignment, counts, models)
+        left[model] -= 1
+    return assignment
 
 
 def choose_loads(engines, named, demand, named_age_s, loading):
@@ -219,19 +258,3 @@
         self.waiting = waiting
         self.version_min = version_min
         self.version_newest = version_newest
-
-
-def _balance(assignment, counts, models):
-    """Move engines from models with two more than another one has."""
-    while models:
-        most = max(models, key=lambda name: counts[name])
-        least = min(models, key=lambda name: counts[name])
-        if counts[most] - counts[least] < 2:
-            break
-        for engine in sorted(assignment):
-            if assignment[engine] == most:
-                assignment[engine] = least
-                counts[most] -= 1
-                counts[least] += 1
-                break
-    return assignment
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -28,7 +28,7 @@
 PAGE_BYTES_MAX = 900_000
 REFUSED_PAUSE_S = 0.05
 BROKEN_PAUSE_S = 0.05
-MOVES_MAX = 2
+MOVES_MAX = 3
 
 
 class OpenSubmission:
@@ -224,8 +224,7 @@
                 await asyncio.sleep(APPEND_RETRY_S)
         if entry.ended:
             return
-        if not inherited:
-            self.on_submission(submission)
+        self.on_submission(submission)
         if inherited and not entry.complete:
             await self._mirror.gather([submission.id], self._shelf)
         if entry.ended:
@@ -425,6 +424,7 @@
                 left.append(run)
                 continue
             run.state = state
+            run.started_at = now
             state.item_runs.add(run)
             run.task = self._spawn(self._run(entry, run, state))
         entry.waiting = left
@@ -571,6 +571,8 @@
             for run in list(entry.runs.values()):
                 if run.task is None or run.moving or run.moves >= MOVES_MAX:
                     continue
+                if now - run.started_at < placement.SLOW_PATIENCE_S:
+                    continue
                 engines = self._list_engines(submission, run.item.id)
                 if not placement.has_faster_engine(
                     run.state,
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -218,6 +218,31 @@
         assert holder.holds()
         assert not holder.interrupted
 
+    async def test_dead_holder_gets_little_time_after_an_outage(
+        self, build_keeper, clock, store, monkeypatch
+    ):
+        # Incident inc-e2c8: the leader died while the store was out, and
+        # nobody led until 4 s after the store's return.
+        holder, other = build_keeper('a', clock), build_keeper('b', clock)
+        await holder.step()
+        await other.step()
+
+        class Ended(Exception):
+            pass
+
+        async def sleep(seconds):
+            raise Ended
+
+        monkeypatch.setattr(lease.asyncio, 'sleep', sleep)
+        store.down = True
+        clock.time_s += 5.0
+        with pytest.raises(Ended):
+            await other.run()
+        store.down = False
+        clock.time_s += lease.RENEWAL_GRACE_S
+        await other.step()
+        assert other.holds()
+
     async def test_other_entries_look_seldom(
         self, build_keeper, clock, monkeypatch
     ):
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -23,6 +23,8 @@
 MIRROR_INTERVAL_S = 0.4
 # A member that is cut off or frozen must not hold a new owner up.
 GATHER_TIMEOUT_S = 0.4
+# A keeper that did not answer is asked again after this time.
+REST_S = 3.0
 COPIES_MAX = 2
 
 
@@ -109,12 +111,13 @@
     :param log: logger
     """
 
-    __slots__ = ('_askers', '_log', '_members', '_sent')
+    __slots__ = ('_askers', '_log', '_members', '_resting', '_sent')
 
     def __init__(self, members, log):
         self._members = members
         self._log = log
         self._askers = {}
+        self._resting = {}
         self._sent = {}
 
     async def run(self, list_runs):
@@ -186,6 +189,9 @@
 
     async def _ask(self, name, question):
         """Ask a keeper; None if it does not answer in time."""
+        now = asyncio.get_running_loop().time()
+        if now < self._resting.get(name, 0.0):
+            return None
         asker = self._askers.get(name)
         if asker is None:
             address = self._members.others.get(name)
@@ -201,6 +207,7 @@
         except (errors.ProtocolError, TimeoutError) as error:
             self._log.info('keeper not asked', member=name, reason=repr(error))
             self._askers.pop(name, None)
+            self._resting[name] = now + REST_S
             asker.close()
             return None
 
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -26,6 +26,7 @@
 # order that was accepted, the order is not sent again.
 ORDER_SHOWN_S = 1.2
 BEHIND_NOTED = 3
+WORK_NOTED = 4
 
 
 class VersionKeeper:
@@ -63,6 +64,7 @@
         '_pool',
         '_quiet_s',
         '_tasks',
+        '_work',
         'last_order_at',
         'named',
         'wakeup',
@@ -97,6 +99,7 @@
         self._pool = pool
         self._quiet_s = quiet_s
         self._tasks = {}
+        self._work = {}
         self._named_at = {}
         self.last_order_at = None
         self.named = {}
@@ -174,8 +177,23 @@
             for state in chosen:
                 self._start_order(state, model)
 
+    def _estimate_work(self, models):
+        """Return each model's work a step; the mean for unknown ones."""
+        known = {}
+        for model in models:
+            if self._work.get(model):
+                known[model] = statistics.fmean(self._work[model])
+        mean = statistics.fmean(known.values()) if known else 1.0
+        return {model: known.get(model, mean) for model in models}
+
     def note_submission(self, submission):
-        """Note how old a version a trainer's new submission accepts."""
+        """Note the work of a step, and how old a version it accepts."""
+        work = 0.0
+        for item in submission.items:
+            work += item.length_hint or item.tokens
+        self._work.setdefault(
+            submission.model, collections.deque(maxlen=WORK_NOTED)
+        ).append(work)
         named = self.named.get(submission.model)
         if named is None:
             return
@@ -193,8 +211,13 @@
 
     def _assign(self, service, engines):
         earlier = self._assignment.get(service.name, {})
+        shares = placement.share_engines(
+            len(engines),
+            self._estimate_work(service.models),
+            collections.Counter(earlier.values()),
+        )
         assignment = placement.assign_models(
-            list(service.models),
+            shares,
             {name: state.versions for name, state in engines.items()},
             earlier,
         )
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -95,6 +95,7 @@
 
     __slots__ = (
         '_address',
+        '_answered_at',
         '_idle',
         '_log',
         '_probe',
@@ -105,6 +106,7 @@
 
     def __init__(self, address, log):
         self._address = address
+        self._answered_at = 0.0
         self._idle = []
         self._log = log
         self._probe = None
@@ -299,10 +301,11 @@
     async def call_directly(self, method, path, body, timeout_s):
         """Make a call to the store itself; see :meth:`_call`."""
         self.calls += 1
+        started = asyncio.get_running_loop().time()
         try:
             client = await self._take_connection()
         except errors.ConnectionLost as error:
-            self._note_lost(method, path, str(error))
+            self._note_lost(method, path, str(error), started)
             raise errors.PlatformUnavailable(str(error)) from error
         head = http.Head(
             method.encode(),
@@ -317,7 +320,7 @@
                 answer = await client.receive_body(RESPONSE_MAX_BYTES)
             done = True
         except (errors.ProtocolError, TimeoutError) as error:
-            self._note_lost(method, path, repr(error))
+            self._note_lost(method, path, repr(error), started)
             text = f'{method} {path}: {error!r}'
             if method == 'GET':
                 raise errors.PlatformUnavailable(text) from error
@@ -327,15 +330,22 @@
                 client.close()
         self._give_back(client)
         if reply.status_code in (429, 503):
-            self._note_lost(method, path, f'status {reply.status_code}')
+            self._note_lost(
+                method, path, f'status {reply.status_code}', started
+            )
         elif not self.reachable:
             self._note_regained()
         return reply.status_code, answer
 
-    def _note_lost(self, method, path, reason):
-        if not self.reachable:
+    def _note_lost(self, method, path, reason, started):
+        """Note that a call failed, unless the store answered a later one."""
+        if not self.reachable or started < self._answered_at:
             return
         self.reachable = False
+        # What was open in the outage may stay silent after it.
+        for client in self._idle:
+            client.close()
+        self._idle.clear()
         self._log.warning(
             'platform lost', call=f'{method} {path}', reason=reason
         )
@@ -344,6 +354,7 @@
 
     def _note_regained(self):
         self.reachable = True
+        self._answered_at = asyncio.get_running_loop().time()
         self._log.info('platform regained')
 
     async def _probe_store(self):
