--- a/spec/check.py
+++ b/spec/check.py
@@ -9,6 +9,7 @@
 import time
 
 import keyed_calls
+import ledger
 import minicheck
 import orders
 import samples
@@ -18,6 +19,12 @@
 STATES_MAX = 3_000_000
 # Enough for a mutant: a counterexample is sound in a partial search too.
 MUTANT_STATES_MAX = 300_000
+MODELS = (
+    ledger.Ledger,
+    orders.Orders,
+    samples.Samples,
+    keyed_calls.KeyedCalls,
+)
 ROSTER_PAIRS = ((2, 3), (1, 2), (2, 0))
 
 
@@ -26,7 +33,7 @@
 
     :param without: a ``(model class, guard)`` pair, or ''
     """
-    for model in (orders.Orders, samples.Samples):
+    for model in (ledger.Ledger, orders.Orders, samples.Samples):
         if without and without[0] is not model:
             continue
         guard = without[1] if without else ''
@@ -67,7 +74,7 @@
     :returns: number of mutants that survive
     """
     survivors = 0
-    for model in (orders.Orders, samples.Samples, keyed_calls.KeyedCalls):
+    for model in MODELS:
         for guard, meaning in model.GUARDS.items():
             found = find_counterexample(model, guard)
             if found is None:
