--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -125,6 +125,8 @@
         '_tasks',
         '_wakeup',
         'known',
+        'on_recorded',
+        'on_run_end',
         'on_submission',
         'open',
         'retain_s',
@@ -154,6 +156,10 @@
         self._mirror = mirror
         # Called with each new submission.
         self.on_submission = lambda submission: None
+        # Called with the end and the duration of each run, in seconds.
+        self.on_run_end = lambda end, took_s: None
+        # Called with the number of results of each recorded chunk.
+        self.on_recorded = lambda count: None
         self._tasks = set()
         self._wakeup = asyncio.Event()
         self.open = {}
@@ -443,6 +449,7 @@
             state.item_runs.discard(run)
             run.task = None
             run.state = None
+            self.on_run_end(end, loop.time() - started)
             self._log.info(
                 'item run',
                 request=run.item.id,
@@ -650,6 +657,7 @@
             await asyncio.sleep(APPEND_RETRY_S)
             return
         entry.add_chunk(chunk)
+        self.on_recorded(len(chosen))
         self._log.info(
             'results recorded',
             submission=submission_id,
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -67,6 +67,7 @@
         '_work',
         'last_order_at',
         'named',
+        'on_outcome',
         'wakeup',
     )
 
@@ -103,6 +104,8 @@
         self._named_at = {}
         self.last_order_at = None
         self.named = {}
+        # Called with the outcome of each order.
+        self.on_outcome = lambda outcome: None
         self.wakeup = asyncio.Event()
 
     def apply_named(self, objects, removed, whole):
@@ -303,6 +306,7 @@
         self.last_order_at = asyncio.get_running_loop().time()
         status, _ = await self._call(state, head, body)
         outcome = self._dialect.read_order_status(status)
+        self.on_outcome(outcome)
         self._log.info(
             'order sent',
             endpoint=state.id,
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -15,6 +15,7 @@
 from clementineline.coordination import members
 from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
+from clementineline.daemons import metrics as metrics_module
 from clementineline.daemons import tasks
 from clementineline import errors
 from clementineline.protocol import asking
@@ -94,14 +95,25 @@
             log,
         )
         store.relay = members.StoreRelay(self._members, log).call
+        self.metrics = metrics_module.Metrics(
+            {'process': settings.name}, self._collect
+        )
         self._stopping = False
 
+    def _collect(self, counted):
+        counted.set('store_calls', self._store.calls)
+        counted.set('store_reachable', int(self._store.reachable))
+        counted.set('endpoints', len(self._directory.endpoints))
+
     async def start(self):
         """Listen and follow the store."""
         self._tasks.keep(self._routes_follower.run, 'routes')
         self._tasks.keep(self._endpoints.run, 'endpoints')
         self._tasks.keep(self._sweep, 'sweep')
         self._tasks.keep(self._members.run, 'members')
+        self._tasks.start(
+            self.metrics.serve(self._settings.metrics, self._log), 'metrics'
+        )
         await frames.start_server(
             frames.parse_address(self._settings.listen), self._serve_peer
         )
@@ -240,6 +252,7 @@
         if isinstance(verdict, verdicts.Answered):
             headers = http.strip_connection_headers(verdict.headers)
             incoming.respond(verdict.status, headers, verdict.body)
+            self._note_request(route, 'answered', took_s)
             self._log.info(
                 'answered',
                 request=facts.request_id,
@@ -248,6 +261,7 @@
                 took_ms=round(took_s * 1000),
             )
             return
+        self._note_request(route, verdicts.name_verdict(verdict), took_s)
         if isinstance(verdict, verdicts.NotRun):
             self._refuse(
                 incoming, facts, 503, verdict.reason, verdict.retry_after_s
@@ -256,6 +270,10 @@
         status = 504 if took_s >= limit_s else 502
         self._refuse(incoming, facts, status, verdict.reason)
 
+    def _note_request(self, route, outcome, took_s):
+        self.metrics.count('requests_total', route=route.name, outcome=outcome)
+        self.metrics.observe('request_seconds', took_s, route=route.name)
+
     # Submissions.
 
     async def _submit(self, incoming, route, facts):
@@ -287,6 +305,7 @@
                 self._refuse(incoming, facts, 504, reason)
                 return
             await asyncio.sleep(ACCEPT_PAUSE_S)
+        self.metrics.count('submissions_total', verb='submit', status=202)
         self._log.info(
             'submission accepted',
             request=facts.request_id,
@@ -314,7 +333,13 @@
             )
             headers = self._dialect.build_retry_headers(STORE_RETRY_S)
             incoming.respond(503, headers, b'')
+            self.metrics.count(
+                'submissions_total', verb=call.verb.value, status=503
+            )
             return
+        self.metrics.count(
+            'submissions_total', verb=call.verb.value, status=status
+        )
         if status == 404:
             self._log.info(
                 'submission not found',
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -15,6 +15,7 @@
 from clementineline.coordination import stepowner
 from clementineline.coordination import texts
 from clementineline.coordination import versions
+from clementineline.daemons import metrics as metrics_module
 from clementineline.daemons import tasks
 from clementineline import errors
 from clementineline.protocol import asking
@@ -81,8 +82,17 @@
         self._owner = None
         self._orders = None
         self._retiring = set()
+        self.metrics = metrics_module.Metrics(
+            {'process': settings.name}, self._collect
+        )
         self._stopping = False
 
+    def _collect(self, counted):
+        counted.set('leads', int(self._may_lead()))
+        counted.set('store_calls', self._store.calls)
+        counted.set('store_reachable', int(self._store.reachable))
+        counted.set('endpoints', len(self._directory.endpoints))
+
     async def start(self):
         """Listen, follow the store and contend for the lease."""
         kinds = self._dialect.kinds
@@ -107,6 +117,9 @@
         self._tasks.keep(self._lead, 'lead')
         self._tasks.keep(self._sweep, 'sweep')
         self._tasks.keep(self._members.run, 'members')
+        self._tasks.start(
+            self.metrics.serve(self._settings.metrics, self._log), 'metrics'
+        )
         self._tasks.keep(self._complete_retirements, 'retire')
         await frames.start_server(
             frames.parse_address(self._settings.listen), self._serve_peer
@@ -218,6 +231,9 @@
             self._log,
         )
         owner.on_submission = orders.note_submission
+        owner.on_run_end = self._note_run
+        owner.on_recorded = self._note_recorded
+        orders.on_outcome = self._note_order
         self._owner = owner
         self._orders = orders
         self._leading = [
@@ -229,6 +245,16 @@
         ]
         self._log.info('leading', fence=self._lease.fence)
 
+    def _note_run(self, end, took_s):
+        self.metrics.count('item_runs_total', end=end)
+        self.metrics.observe('item_run_seconds', took_s)
+
+    def _note_recorded(self, count):
+        self.metrics.count('results_recorded_total', count)
+
+    def _note_order(self, outcome):
+        self.metrics.count('orders_total', outcome=outcome.value)
+
     async def _stop_leading(self, reason):
         owner, self._owner = self._owner, None
         if owner is None:
--- a/src/clementineline/daemons/logs.py
+++ b/src/clementineline/daemons/logs.py
@@ -4,14 +4,17 @@
 import logging
 import os
 import sys
+import time
 
 import msgspec
 import structlog
 
-__all__ = ['BoundedWriter', 'configure_logs', 'configure_output']
+__all__ = ['BoundedWriter', 'LineBudget', 'configure_logs', 'configure_output']
 
 # Lines that wait for a slow reader; what comes beyond is counted and dropped.
 BUFFER_BYTES_MAX = 512 * 1024
+# Of one event and level: three times what the heaviest days write.
+LINES_PER_S = 150
 
 
 def _render(logger, name, event):
@@ -70,9 +73,43 @@
     msg = write_line
 
 
-def _configure(level, logger_factory):
+class LineBudget:
+    """Leaves lines of an event out beyond so many a second.
+
+    The first line of the event in a later second says how many; warnings
+    and errors have a budget of their own, so that a flood of other lines
+    never hides them.
+    """
+
+    __slots__ = ('_clock', '_counts', '_second')
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._counts = {}
+        self._second = 0
+
+    def __call__(self, logger, name, event):
+        """Pass an event on, or drop it; a structlog processor."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            for counts in self._counts.values():
+                counts[0] = 0
+        counts = self._counts.setdefault((event.get('event'), name), [0, 0])
+        counts[0] += 1
+        if counts[0] > LINES_PER_S:
+            counts[1] += 1
+            raise structlog.DropEvent
+        if counts[1]:
+            event['omitted'] = counts[1]
+            counts[1] = 0
+        return event
+
+
+def _configure(level, logger_factory, processors=()):
     structlog.configure(
         processors=[
+            *processors,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             structlog.processors.format_exc_info,
@@ -105,5 +142,5 @@
     :returns: the process's logger
     """
     writer = BoundedWriter(sys.stdout.fileno())
-    _configure(level, lambda *args: writer)
+    _configure(level, lambda *args: writer, [LineBudget()])
     return structlog.get_logger().bind(process=process)
--- /dev/null
+++ b/src/clementineline/daemons/metrics.py
@@ -0,0 +1,144 @@
+"""Counters and latency histograms of a process, and where they are read.
+
+aioprometheus takes a tenth of a second to import, which a restarted process
+does not have to spare; until it is loaded, what is counted waits.
+"""
+
+import asyncio
+import importlib
+
+from clementineline.transport import frames
+from clementineline.transport import http
+
+__all__ = ['Metrics']
+
+LOAD_DELAY_S = 3.0
+PENDING_MAX = 20_000
+PATH = b'/metrics'
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.19,
+    0.4,
+    0.8,
+    1.5,
+    3.0,
+    5.0,
+    7.5,
+    12.0,
+    float('inf'),
+)
+DESCRIPTIONS = {
+    'requests_total': 'Requests of callers, by what became of them.',
+    'request_seconds': 'From the whole request to the answer.',
+    'attempts_total': 'Live calls sent to endpoints, by verdict.',
+    'attempt_seconds': 'From the send of a live call to its verdict.',
+    'submissions_total': 'Calls about submissions, by verb and status.',
+    'item_runs_total': 'Runs of items, by end.',
+    'item_run_seconds': 'From the start of an item run to its end.',
+    'results_recorded_total': 'Results that got their positions.',
+    'orders_total': 'Orders sent to engines, by outcome.',
+    'leads': 'Whether the process leads.',
+    'store_calls': 'Calls made to the platform store.',
+    'store_reachable': 'Whether the platform store answers the process.',
+    'endpoints': 'Endpoints that are known.',
+    'log_lines_dropped': 'Log lines left out since their reader was slow.',
+}
+
+
+class Metrics:
+    """Metrics by name, without the ``clementineline_`` prefix.
+
+    :param labels: labels on each metric
+    :param collect: called before a rendering, to set gauges
+    """
+
+    __slots__ = (
+        '_collect',
+        '_collectors',
+        '_labels',
+        '_library',
+        '_pending',
+        '_registry',
+        '_server',
+    )
+
+    def __init__(self, labels, collect=lambda metrics: None):
+        self._collect = collect
+        self._collectors = {}
+        self._labels = labels
+        self._library = None
+        self._pending = []
+        self._registry = None
+        self._server = None
+
+    def count(self, name, amount=1, **labels):
+        """Add to a counter."""
+        self._apply('Counter', name, 'add', labels, amount)
+
+    def observe(self, name, seconds, **labels):
+        """Add a duration, in seconds, to a histogram."""
+        self._apply('Histogram', name, 'observe', labels, seconds)
+
+    def set(self, name, value, **labels):
+        """Set a gauge."""
+        self._apply('Gauge', name, 'set', labels, value)
+
+    def _apply(self, kind, name, method, labels, value):
+        if self._library is None:
+            if len(self._pending) < PENDING_MAX:
+                self._pending.append((kind, name, method, labels, value))
+            return
+        collector = self._collectors.get(name)
+        if collector is None:
+            options = {}
+            if kind == 'Histogram':
+                options['buckets'] = LATENCY_BUCKETS_S
+            collector = getattr(self._library, kind)(
+                f'clementineline_{name}',
+                DESCRIPTIONS[name],
+                const_labels=self._labels,
+                registry=self._registry,
+                **options,
+            )
+            self._collectors[name] = collector
+        getattr(collector, method)(labels, value)
+
+    def load(self):
+        """Load the library, and take what has waited for it."""
+        if self._library is not None:
+            return
+        library = importlib.import_module('aioprometheus')
+        self._registry = library.Registry()
+        self._library = library
+        for kind, name, method, labels, value in self._pending:
+            self._apply(kind, name, method, labels, value)
+        self._pending.clear()
+
+    def render(self):
+        """Return all metrics as text for a Prometheus scraper."""
+        self.load()
+        self._collect(self)
+        renderer = importlib.import_module('aioprometheus.renderer')
+        content, _ = renderer.render(self._registry, ['text/plain'])
+        return content
+
+    async def serve(self, address, log):
+        """Listen for scrapers at ``HOST:PORT``, and load after a while.
+
+        :param address: empty for no listener
+        """
+        if address:
+            self._server = http.Server(self._handle, http.ServerLimits(), log)
+            await self._server.start(frames.parse_address(address))
+        await asyncio.sleep(LOAD_DELAY_S)
+        self.load()
+
+    async def _handle(self, incoming):
+        if incoming.head.path != PATH:
+            incoming.respond(404, (), b'expected /metrics\n')
+            return
+        headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
+        incoming.respond(200, headers, self.render())
--- a/src/clementineline/daemons/tests/test_logs.py
+++ b/src/clementineline/daemons/tests/test_logs.py
@@ -1,6 +1,8 @@
 import os
 import time
 
+import structlog
+
 from clementineline.daemons import logs
 
 
@@ -36,3 +38,21 @@
             output.info(str(number))
         lines = os.read(reader, 65536).decode().split()
         assert lines == [str(number) for number in range(100)]
+
+
+class TestLineBudget:
+    def test_flood_is_counted_and_warnings_get_through(self, clock):
+        budget = logs.LineBudget(clock.now)
+        written = 0
+        for _ in range(1000):
+            try:
+                budget(None, 'info', {'event': 'attempt'})
+                written += 1
+            except structlog.DropEvent:
+                continue
+        assert written == logs.LINES_PER_S
+        assert budget(None, 'warning', {'event': 'attempt'})
+        clock.time_s += 1.0
+        line = budget(None, 'info', {'event': 'attempt'})
+        assert line['omitted'] == 1000 - logs.LINES_PER_S
+        assert 'omitted' not in budget(None, 'info', {'event': 'attempt'})
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -13,8 +13,8 @@
 LEASE_RENEW_S = 0.6
 # Kept beyond the time for which results must be readable.
 RETAIN_MARGIN_S = 60.0
-METRICS_PORT_INDEX = 1
-PEER_PORT_INDEX = 0
+# deploy/system.toml tells the platform the same port.
+METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -50,8 +50,8 @@
         raise errors.SettingsError(f'{path}: {error}') from error
 
 
-def _build_address(node, index):
-    return f'{node.ip}:{node.port_range[0] + index}'
+def _build_peer_address(node):
+    return f'{node.ip}:{node.port_range[0]}'
 
 
 def load_gateway_settings(path):
@@ -65,10 +65,10 @@
         zone=node.zone,
         http=node.listen.front,
         ready=node.listen.ready,
-        listen=_build_address(node, PEER_PORT_INDEX),
+        listen=_build_peer_address(node),
         store=node.platform.address,
         grace_s=node.bounds.grace_s,
-        metrics=_build_address(node, METRICS_PORT_INDEX),
+        metrics=f'{node.ip}:{METRICS_PORT}',
     )
 
 
@@ -86,9 +86,9 @@
     return settings.KeeperSettings(
         name=node.node_name,
         zone=node.zone,
-        listen=_build_address(node, PEER_PORT_INDEX),
+        listen=_build_peer_address(node),
         store=node.platform.address,
         retain_s=node.bounds.status_s + RETAIN_MARGIN_S,
         lease=lease,
-        metrics=_build_address(node, METRICS_PORT_INDEX),
+        metrics=f'{node.ip}:{METRICS_PORT}',
     )
