--- a/src/clementineline/commands/operator.py
+++ b/src/clementineline/commands/operator.py
@@ -10,6 +10,7 @@
 
 import cyclopts
 
+from clementineline.commands import explanation
 from clementineline import errors
 
 __all__ = ['CommandFailed', 'add_commands', 'check_file']
@@ -36,6 +37,16 @@
 ]
 
 
+Logs = typing.Annotated[
+    tuple[str, ...],
+    cyclopts.Parameter(
+        name='--log',
+        help='read these log files in place of asking an entry; - is '
+        'standard input',
+    ),
+]
+
+
 class CommandFailed(errors.ClementinelineError):
     """A command ended without success.
 
@@ -47,6 +58,23 @@
         self.code = code
 
 
+def _explain_from_logs(subject, paths, as_json):
+    """Show the log lines about an id."""
+    try:
+        lines = explanation.read_lines(paths)
+    except OSError as error:
+        raise CommandFailed(str(error), WRONG_INPUT) from error
+    selected = explanation.select_lines(lines, subject)
+    if not selected:
+        raise CommandFailed(
+            f'{subject}: none of {len(lines)} lines is about it', REFUSED
+        )
+    if as_json:
+        _print_json(selected)
+        return
+    explanation.print_lines(selected)
+
+
 def _call(entry, method, path, data=None):
     """Call an entry.
 
@@ -245,8 +273,17 @@
         _print_status(answer)
 
     @app.command
-    def explain(id: str, *, entry: Entry = None, json: Json = False):
+    def explain(
+        id: str,
+        *,
+        log: Logs = (),
+        entry: Entry = None,
+        json: Json = False,
+    ):
         """Show the decisions about a request, sample, step or plan."""
+        if log:
+            _explain_from_logs(id, log, json)
+            return
         answer = _call(entry, 'GET', f'explain/{id}')
         if json:
             _print_json(answer)
--- /dev/null
+++ b/src/clementineline/commands/tests/test_explanation.py
@@ -0,0 +1,127 @@
+import json
+
+import pytest
+
+from clementineline.commands import main
+
+
+def build_line(second, process, event, **fields):
+    return {
+        'timestamp': f'2026-05-01T00:00:{second:02d}Z',
+        'process': process,
+        'event': event,
+        **fields,
+    }
+
+
+REFUSED_CALL = [
+    build_line(1, 'front-1', 'route table adopted', version=7),
+    build_line(
+        2,
+        'front-1',
+        'attempt',
+        request='r1',
+        endpoint='i-1',
+        verdict='not-run',
+        reason='endpoint refused with 503',
+    ),
+    build_line(3, 'front-1', 'refused', request='r1', status=503),
+    build_line(3, 'front-1', 'attempt', request='r2', verdict='answered'),
+]
+BROKEN_CALL = [
+    build_line(
+        4,
+        'front-1',
+        'attempt',
+        request='r3',
+        endpoint='i-2',
+        verdict='may-have-run',
+        reason='connection lost',
+    ),
+    build_line(5, 'front-1', 'refused', request='r3', status=502),
+]
+LATE_ITEM = [
+    build_line(1, 'front-2', 'submission accepted', request='s1', items=2),
+    build_line(1, 'store-1', 'submission opened', submission='s1', step=4),
+    build_line(
+        2,
+        'store-1',
+        'item run',
+        request='i1',
+        submission='s1',
+        endpoint='e-1',
+        end='broken',
+        reason='cancelled',
+    ),
+    build_line(3, 'store-1', 'platform lost', reason='TimeoutError()'),
+    build_line(
+        9,
+        'store-1',
+        'item run',
+        request='i1',
+        submission='s1',
+        end='completed',
+    ),
+    build_line(9, 'store-1', 'item run', request='i2', submission='s1'),
+    build_line(9, 'store-1', 'results recorded', submission='s1', chunk=0),
+]
+UNLOADED_VERSION = [
+    build_line(1, 'store-1', 'version named', model='m0', version=5),
+    build_line(
+        2,
+        'store-1',
+        'order not answered',
+        endpoint='e-1',
+        model='m0',
+        reason='TimeoutError()',
+    ),
+]
+
+
+@pytest.fixture
+def explain(tmp_path, monkeypatch, capsys):
+    def run(lines, subject):
+        path = tmp_path / 'log'
+        prefixed = [f'  1.0 front-1 {json.dumps(line)}' for line in lines]
+        path.write_text('not a line\n' + '\n'.join(prefixed) + '\n{"cut')
+        arguments = ['clementineline', 'explain', subject]
+        monkeypatch.setattr('sys.argv', [*arguments, '--log', str(path)])
+        code = 0
+        try:
+            main.run()
+        except SystemExit as error:
+            code = error.code or 0
+        return code, capsys.readouterr().out
+
+    return run
+
+
+class TestExplainFromLogs:
+    def test_refused_call_names_the_endpoint_and_the_reason(self, explain):
+        code, printed = explain(REFUSED_CALL, 'r1')
+        assert code == 0
+        assert 'endpoint refused with 503' in printed
+        assert 'status=503' in printed
+        assert 'r2' not in printed
+
+    def test_call_that_failed_midway_names_what_was_lost(self, explain):
+        _, printed = explain(BROKEN_CALL, 'r3')
+        assert 'may-have-run' in printed
+        assert 'connection lost' in printed
+
+    def test_late_item_leads_to_its_submission_and_the_outage(self, explain):
+        _, printed = explain(LATE_ITEM, 'i1')
+        assert 'submission accepted' in printed
+        assert 'platform lost' in printed
+        assert 'results recorded' in printed
+        assert 'request=i2' not in printed
+
+    def test_version_that_was_not_loaded_names_the_order(self, explain):
+        _, printed = explain(UNLOADED_VERSION, 'm0')
+        assert 'order not answered' in printed
+        assert 'endpoint=e-1' in printed
+
+    def test_unknown_id_is_said(self, explain):
+        code, printed = explain(REFUSED_CALL, 'nothing')
+        assert code == 1
+        assert printed == ''
