--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -12,91 +12,22 @@
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
+from clementineline.coordination import opensubmissions
 from clementineline.coordination import placement
+from clementineline.coordination import recording
 from clementineline.coordination import texts
 from clementineline import errors
 from clementineline.state import submissions
 
-__all__ = ['OpenSubmission', 'StepOwner']
+__all__ = ['StepOwner']
 
 TICK_S = 0.1
-# Results wait for others to share a chunk, unless the trainer waits for just
-# them; trainers read about twice a second.
-APPEND_INTERVAL_S = 0.45
-APPEND_RETRY_S = 0.2
-CHUNK_BYTES_MAX = 700_000
-PAGE_BYTES_MAX = 900_000
+LOAD_RETRY_S = 0.2
 REFUSED_PAUSE_S = 0.05
 BROKEN_PAUSE_S = 0.05
 MOVES_MAX = 3
 
 
-class OpenSubmission:
-    """A submission with its results so far.
-
-    :param submission: the :class:`~submissions.Submission`
-    :param ended: whether its end was recorded
-    """
-
-    __slots__ = (
-        'changed',
-        'chunk_count',
-        'due',
-        'ended',
-        'finished',
-        'loaded',
-        'loading',
-        'positions',
-        'results',
-        'runs',
-        'submission',
-        'waiting',
-        'writer',
-    )
-
-    def __init__(self, submission, ended):
-        self.submission = submission
-        self.ended = ended
-        self.loaded = False
-        self.loading = asyncio.Lock()
-        self.chunk_count = 0
-        self.results = []
-        self.positions = {}
-        self.finished = {}
-        self.runs = {}
-        self.waiting = []
-        self.changed = asyncio.Event()
-        self.due = asyncio.Event()
-        self.writer = None
-
-    def count_whole_groups(self):
-        """Return how many groups have all their results."""
-        broken = {run.item.group for run in self.runs.values()}
-        groups = {item.group for item in self.submission.items}
-        return len(groups - broken)
-
-    @property
-    def complete(self):
-        """Whether each item has its position."""
-        return len(self.results) >= len(self.submission.items)
-
-    def add_chunk(self, chunk):
-        """Take a chunk that is recorded; its positions are final."""
-        self.chunk_count += 1
-        for result in chunk.results:
-            self.positions[result.item_id] = len(self.results)
-            self.results.append(result)
-            self.finished.pop(result.item_id, None)
-            run = self.runs.pop(result.item_id, None)
-            if run is not None:
-                if run in self.waiting:
-                    self.waiting.remove(run)
-                if run.task is not None:
-                    run.task.cancel()
-        changed, self.changed = self.changed, asyncio.Event()
-        changed.set()
-
-
 class StepOwner:
     """Runs all open submissions while this process leads.
 
@@ -125,11 +56,11 @@
         '_tasks',
         '_wakeup',
         'known',
-        'on_recorded',
         'on_run_end',
         'on_submission',
         'open',
         'retain_s',
+        'writer',
     )
 
     def __init__(
@@ -158,8 +89,7 @@
         self.on_submission = lambda submission: None
         # Called with the end and the duration of each run, in seconds.
         self.on_run_end = lambda end, took_s: None
-        # Called with the number of results of each recorded chunk.
-        self.on_recorded = lambda count: None
+        self.writer = recording.ResultWriter(steps_ledger, may_lead, log)
         self._tasks = set()
         self._wakeup = asyncio.Event()
         self.open = {}
@@ -178,7 +108,7 @@
             submission, ended = decoded
             entry = self.open.get(submission.id)
             if entry is None:
-                entry = OpenSubmission(submission, ended)
+                entry = opensubmissions.OpenSubmission(submission, ended)
                 self.open[submission.id] = entry
                 if not ended:
                     self._spawn(self._start(entry, not self.known))
@@ -227,7 +157,7 @@
                 await self.load(entry)
             except errors.PlatformError as error:
                 self._log.info('results not read', e=str(error))
-                await asyncio.sleep(APPEND_RETRY_S)
+                await asyncio.sleep(LOAD_RETRY_S)
         if entry.ended:
             return
         self.on_submission(submission)
@@ -252,7 +182,7 @@
         for run in entry.runs.values():
             run.carried = run.item.group in carried
         entry.waiting = placement.order_waiting(entry.waiting)
-        entry.writer = self._spawn(self._write_results(entry))
+        entry.writer = self._spawn(self.writer.run(entry))
         self._log.info(
             'submission opened',
             submission=submission.id,
@@ -511,7 +441,7 @@
         first = not entry.finished
         entry.finished[result.item_id] = result
         entry.runs.pop(result.item_id, None)
-        if first or self._is_urgent(entry):
+        if first or recording.is_urgent(entry):
             entry.due.set()
 
     def _abandon(self, entry, run, reason):
@@ -601,88 +531,6 @@
                 run.moving = True
                 run.task.cancel()
 
-    # Recording results.
-
-    async def _write_results(self, entry):
-        while not entry.complete:
-            entry.due.clear()
-            if not entry.finished:
-                await entry.due.wait()
-            if not self._is_urgent(entry):
-                entry.due.clear()
-                try:
-                    async with asyncio.timeout(APPEND_INTERVAL_S):
-                        await entry.due.wait()
-                except TimeoutError:
-                    pass
-            if not entry.finished:
-                continue
-            if self._may_lead():
-                await self._append(entry)
-            else:
-                await asyncio.sleep(APPEND_RETRY_S)
-
-    def _is_urgent(self, entry):
-        """Whether what has finished gives the trainer all it waits for."""
-        if not entry.finished:
-            return False
-        return (
-            not entry.runs
-            or entry.count_whole_groups() >= entry.submission.groups_wanted
-        )
-
-    async def _append(self, entry):
-        submission_id = entry.submission.id
-        chosen = []
-        size = 0
-        for result in entry.finished.values():
-            if chosen and size + len(result.text) > CHUNK_BYTES_MAX:
-                break
-            chosen.append(result)
-            size += len(result.text)
-        number = entry.chunk_count
-        chunk = submissions.ResultChunk(len(entry.results), tuple(chosen))
-        try:
-            await self._ledger.append(submission_id, number, chunk)
-        except errors.WriteConflict:
-            await self._adopt(entry, number)
-            return
-        except errors.PlatformError as error:
-            self._log.info(
-                'results not recorded',
-                submission=submission_id,
-                results=len(chosen),
-                reason=str(error),
-            )
-            await asyncio.sleep(APPEND_RETRY_S)
-            return
-        entry.add_chunk(chunk)
-        self.on_recorded(len(chosen))
-        self._log.info(
-            'results recorded',
-            submission=submission_id,
-            chunk=number,
-            results=len(chosen),
-            listed=len(entry.results),
-        )
-
-    async def _adopt(self, entry, number):
-        """Take the chunk that another writer, or a late write, put there."""
-        try:
-            chunk = await self._ledger.read_chunk(entry.submission.id, number)
-        except errors.PlatformError as error:
-            self._log.info('chunk not read', e=str(error))
-            await asyncio.sleep(APPEND_RETRY_S)
-            return
-        if chunk is not None:
-            self._log.info(
-                'chunk adopted',
-                submission=entry.submission.id,
-                chunk=number,
-                results=len(chunk.results),
-            )
-            entry.add_chunk(chunk)
-
     # Reading.
 
     async def read(self, submission_id, after, wait_s):
@@ -704,7 +552,9 @@
                         await entry.changed.wait()
                 except TimeoutError:
                     pass
-        return build_page(entry.submission, entry.results, after)
+        return opensubmissions.build_page(
+            entry.submission, entry.results, after
+        )
 
     async def read_body(self, submission_id, item_id):
         """Return ``(known, body)`` of an item that is not listed."""
@@ -713,7 +563,9 @@
             return False, None
         if not entry.loaded:
             await self.load(entry)
-        return True, find_body(entry.submission, entry.positions, item_id)
+        return True, opensubmissions.find_body(
+            entry.submission, entry.positions, item_id
+        )
 
     async def stop(self):
         """Cancel all runs and writers, and keep what is held of the items."""
@@ -723,27 +575,3 @@
             task.cancel()
         if tasks:
             await asyncio.wait(tasks)
-
-
-def build_page(submission, results, after):
-    """Return the :class:`~submissions.ResultPage` from a position on."""
-    chosen = []
-    size = 0
-    for result in results[after:]:
-        size += len(result.text) + 200
-        if chosen and size > PAGE_BYTES_MAX:
-            break
-        chosen.append(result)
-    return submissions.ResultPage(
-        len(submission.items), after + len(chosen), tuple(chosen)
-    )
-
-
-def find_body(submission, listed, item_id):
-    """Return the body of an item that is not listed, or None."""
-    if item_id in listed:
-        return None
-    for item in submission.items:
-        if item.id == item_id:
-            return item.body
-    return None
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -13,8 +13,8 @@
 from clementineline.coordination import leaders
 from clementineline.coordination import ledger
 from clementineline.coordination import members
+from clementineline.coordination import opensubmissions
 from clementineline.coordination import routetable
-from clementineline.coordination import stepowner
 from clementineline.daemons import metrics as metrics_module
 from clementineline.daemons import tasks
 from clementineline import errors
@@ -380,7 +380,7 @@
         results = []
         for chunk in await self._ledger.read_chunks(call.submission_id):
             results.extend(chunk.results)
-        return stepowner.build_page(found[0], results, call.after)
+        return opensubmissions.build_page(found[0], results, call.after)
 
     async def _read_item(self, call):
         question = questions.ReadBody(call.submission_id, call.item_id)
@@ -394,7 +394,7 @@
             listed = set()
             for chunk in await self._ledger.read_chunks(call.submission_id):
                 listed.update(result.item_id for result in chunk.results)
-            body = stepowner.find_body(found[0], listed, call.item_id)
+            body = opensubmissions.find_body(found[0], listed, call.item_id)
         if body is None:
             return 404, (), b''
         return 200, ((b'Content-Type', b'application/octet-stream'),), body
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -232,7 +232,7 @@
         )
         owner.on_submission = orders.note_submission
         owner.on_run_end = self._note_run
-        owner.on_recorded = self._note_recorded
+        owner.writer.on_recorded = self._note_recorded
         orders.on_outcome = self._note_order
         self._owner = owner
         self._orders = orders
