--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from clementineline.transport import http
+from clementineline.transport import outgoing
 
 __all__ = ['ConnectionPool']
 
@@ -37,7 +38,7 @@
                 return client
             client.close()
         self.opened += 1
-        return await http.connect(state.address, timeout_s)
+        return await outgoing.connect(state.address, timeout_s)
 
     def give_back(self, state, client):
         """Keep a connection, or close it if it can carry no more."""
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -5,20 +5,11 @@
 import random
 import time
 
-from clementineline import clocks
-from clementineline.coordination import connections
-from clementineline.coordination import directory
-from clementineline.coordination import following
 from clementineline.coordination import forwarding
 from clementineline.coordination import leaders
-from clementineline.coordination import ledger
-from clementineline.coordination import members
 from clementineline.coordination import opensubmissions
-from clementineline.coordination import routetable
-from clementineline.daemons import metrics as metrics_module
-from clementineline.daemons import tasks
+from clementineline.daemons import node
 from clementineline import errors
-from clementineline.protocol import asking
 from clementineline.protocol import verdicts
 from clementineline.state import dialect as dialects
 from clementineline.state import questions
@@ -27,7 +18,6 @@
 
 __all__ = ['Gateway']
 
-SWEEP_INTERVAL_S = 1.0
 # Two probes a second apart take a gateway out of the balancer's rotation.
 ROTATION_S = 3.2
 # Kept of the time between the stop signal and the kill.
@@ -41,7 +31,7 @@
 ENDED_KEPT_MAX = 2000
 
 
-class Gateway:
+class Gateway(node.Node):
     """Serves callers until it is told to stop.
 
     :param settings: a :class:`~settings.GatewaySettings`
@@ -51,93 +41,26 @@
     """
 
     def __init__(self, settings, store, dialect, log):
-        self._settings = settings
-        self._store = store
-        self._dialect = dialect
-        self._log = log
-        self._clock = clocks.BootClock()
-        self._tasks = tasks.TaskGroup(log)
-        self._directory = directory.Directory(
-            dialect.decode_endpoint, self._clock, log
-        )
-        self._endpoints = following.Follower(
-            store,
-            dialect.kinds.endpoints,
-            self._apply_endpoints,
-            self._clock,
-            log,
-            directory.CHANGE_PAUSE_S,
-        )
-        self._routes = routetable.RouteKeeper(dialect, log)
-        self._routes_follower = following.Follower(
-            store,
-            dialect.kinds.routes,
-            self._apply_routes,
-            self._clock,
-            log,
-        )
-        self._pool = connections.ConnectionPool()
+        super().__init__(settings, store, dialect, log)
         self._forwarder = forwarding.CallForwarder(
             self._directory, self._pool, dialect, settings.zone, log
         )
-        self._ledger = ledger.Ledger(store)
         self._leaders = leaders.LeaderFinder(store, log)
         self._ended = collections.OrderedDict()
         self._server = http.Server(self._handle, http.ServerLimits(), log)
         self._ready_server = http.Server(
             self._handle_ready, http.ServerLimits(), log
         )
-        self._members = members.Members(
-            settings.name,
-            settings.listen,
-            False,
-            store,
-            log,
-        )
-        store.relay = members.StoreRelay(self._members, log).call
-        self.metrics = metrics_module.Metrics(
-            {'process': settings.name}, self._collect
-        )
-        self._stopping = False
-
-    def _collect(self, counted):
-        counted.set('store_calls', self._store.calls)
-        counted.set('store_reachable', int(self._store.reachable))
-        counted.set('endpoints', len(self._directory.endpoints))
 
     async def start(self):
         """Listen and follow the store."""
-        self._tasks.keep(self._routes_follower.run, 'routes')
-        self._tasks.keep(self._endpoints.run, 'endpoints')
-        self._tasks.keep(self._sweep, 'sweep')
-        self._tasks.keep(self._members.run, 'members')
-        self._tasks.start(
-            self.metrics.serve(self._settings.metrics, self._log), 'metrics'
-        )
-        await frames.start_server(
-            frames.parse_address(self._settings.listen), self._serve_peer
-        )
+        await self._start_node()
         await self._server.start(frames.parse_address(self._settings.http))
         await self._ready_server.start(
             frames.parse_address(self._settings.ready)
         )
         self._log.info('gateway started', zone=self._settings.zone)
 
-    async def _serve_peer(self, stream):
-        await asking.serve_questions(
-            stream, questions.Question, self._answer_peer
-        )
-
-    async def _answer_peer(self, question):
-        if isinstance(question, questions.RelayCall):
-            return await members.answer_relay(self._store, question)
-        return questions.NotLeading('a gateway owns nothing')
-
-    def reload(self, settings):
-        """Take new settings; addresses change at the next start only."""
-        self._settings = settings
-        self._log.info('settings reloaded')
-
     async def stop(self):
         """Leave the balancer's rotation, then end what is in flight."""
         loop = asyncio.get_running_loop()
@@ -158,13 +81,7 @@
             took_s=round(loop.time() - started, 2),
         )
 
-    def _apply_endpoints(self, objects, removed, whole):
-        was_out = self._endpoints.was_out(directory.RETURN_S)
-        self._directory.apply(objects, removed, whole, was_out)
-
-    def _apply_routes(self, objects, removed, whole):
-        if not self._routes.apply(objects):
-            return
+    def _note_routes(self):
         limits = self._routes.table.limits
         self._server.limits = http.ServerLimits(
             limits.header_bytes,
@@ -173,12 +90,6 @@
             limits.idle_s,
         )
 
-    async def _sweep(self):
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._directory.drop_doubtful()
-            self._pool.close_idle(self._directory.endpoints)
-
     @property
     def is_ready(self):
         """Whether callers should be sent here."""
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -4,33 +4,23 @@
 import math
 import random
 
-from clementineline import clocks
-from clementineline.coordination import connections
-from clementineline.coordination import directory
-from clementineline.coordination import following
 from clementineline.coordination import lease
 from clementineline.coordination import ledger
-from clementineline.coordination import members
-from clementineline.coordination import routetable
 from clementineline.coordination import stepowner
 from clementineline.coordination import texts
 from clementineline.coordination import versions
-from clementineline.daemons import metrics as metrics_module
-from clementineline.daemons import tasks
+from clementineline.daemons import node
 from clementineline import errors
-from clementineline.protocol import asking
 from clementineline.state import questions
-from clementineline.transport import frames
 
 __all__ = ['Keeper']
 
 LEAD_CHECK_S = 0.05
-SWEEP_INTERVAL_S = 1.0
 SUBMISSIONS_WAIT_S = 1.5
 RETIREMENT_RETRY_S = 0.5
 
 
-class Keeper:
+class Keeper(node.Node):
     """Contends for the lease and leads while it holds it.
 
     :param settings: a :class:`~settings.KeeperSettings`
@@ -39,28 +29,11 @@
     :param log: logger
     """
 
+    KEEPS = True
+
     def __init__(self, settings, store, dialect, log):
-        self._settings = settings
-        self._store = store
-        self._dialect = dialect
-        self._log = log
-        self._clock = clocks.BootClock()
-        self._tasks = tasks.TaskGroup(log)
-        self._directory = directory.Directory(
-            dialect.decode_endpoint, self._clock, log
-        )
+        super().__init__(settings, store, dialect, log)
         self._directory.on_change = self._wake
-        self._endpoints = following.Follower(
-            store,
-            dialect.kinds.endpoints,
-            self._apply_endpoints,
-            self._clock,
-            log,
-            directory.CHANGE_PAUSE_S,
-        )
-        self._routes = routetable.RouteKeeper(dialect, log)
-        self._pool = connections.ConnectionPool()
-        self._ledger = ledger.Ledger(store)
         self._lease = lease.LeaseKeeper(
             settings.name,
             store,
@@ -69,68 +42,29 @@
             log,
             address=settings.listen,
         )
-        self._members = members.Members(
-            settings.name,
-            settings.listen,
-            True,
-            store,
-            log,
+        self._retirements = self._follow(
+            dialect.kinds.retirements, self._apply_retirements
         )
-        store.relay = members.StoreRelay(self._members, log).call
         self._shelf = texts.TextShelf()
         self._mirror = texts.TextMirror(self._members, log)
         self._owner = None
         self._orders = None
+        self._leading = []
         self._retiring = set()
-        self.metrics = metrics_module.Metrics(
-            {'process': settings.name}, self._collect
-        )
-        self._stopping = False
 
     def _collect(self, counted):
+        super()._collect(counted)
         counted.set('leads', int(self._may_lead()))
-        counted.set('store_calls', self._store.calls)
-        counted.set('store_reachable', int(self._store.reachable))
-        counted.set('endpoints', len(self._directory.endpoints))
 
     async def start(self):
         """Listen, follow the store and contend for the lease."""
-        kinds = self._dialect.kinds
-        routes = following.Follower(
-            self._store,
-            kinds.routes,
-            self._apply_routes,
-            self._clock,
-            self._log,
-        )
-        retirements = following.Follower(
-            self._store,
-            kinds.retirements,
-            self._apply_retirements,
-            self._clock,
-            self._log,
-        )
-        self._tasks.keep(routes.run, 'routes')
-        self._tasks.keep(self._endpoints.run, 'endpoints')
-        self._tasks.keep(retirements.run, 'retirements')
+        await self._start_node()
+        self._tasks.keep(self._retirements.run, 'retirements')
         self._tasks.keep(self._contend, 'lease')
         self._tasks.keep(self._lead, 'lead')
-        self._tasks.keep(self._sweep, 'sweep')
-        self._tasks.keep(self._members.run, 'members')
-        self._tasks.start(
-            self.metrics.serve(self._settings.metrics, self._log), 'metrics'
-        )
         self._tasks.keep(self._complete_retirements, 'retire')
-        await frames.start_server(
-            frames.parse_address(self._settings.listen), self._serve_peer
-        )
         self._log.info('keeper started', zone=self._settings.zone)
 
-    def reload(self, settings):
-        """Take new settings; addresses change at the next start only."""
-        self._settings = settings
-        self._log.info('settings reloaded')
-
     async def stop(self):
         """Hand the lease on and stop."""
         self._stopping = True
@@ -145,19 +79,8 @@
         if self._orders is not None:
             self._orders.wakeup.set()
 
-    def _apply_endpoints(self, objects, removed, whole):
-        was_out = self._endpoints.was_out(directory.RETURN_S)
-        self._directory.apply(objects, removed, whole, was_out)
-
-    def _apply_routes(self, objects, removed, whole):
-        if self._routes.apply(objects):
-            self._wake()
-
-    async def _sweep(self):
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._directory.drop_doubtful()
-            self._pool.close_idle(self._directory.endpoints)
+    def _note_routes(self):
+        self._wake()
 
     # Leading.
 
@@ -213,23 +136,14 @@
             self._lease.quiet_s,
             self._log,
         )
-        submissions = following.Follower(
-            self._store,
+        submissions = self._follow(
             ledger.SUBMISSIONS_KIND,
             owner.apply,
-            self._clock,
-            self._log,
             # Too large to be listed often; short watches find a lost answer.
             wait_s=SUBMISSIONS_WAIT_S,
             check_s=0.0,
         )
-        named = following.Follower(
-            self._store,
-            self._dialect.kinds.versions,
-            orders.apply_named,
-            self._clock,
-            self._log,
-        )
+        named = self._follow(self._dialect.kinds.versions, orders.apply_named)
         owner.on_submission = orders.note_submission
         owner.on_run_end = self._note_run
         owner.writer.on_recorded = self._note_recorded
@@ -269,12 +183,7 @@
 
     # Answering gateways.
 
-    async def _serve_peer(self, stream):
-        await asking.serve_questions(stream, questions.Question, self._answer)
-
     async def _answer(self, question):
-        if isinstance(question, questions.RelayCall):
-            return await members.answer_relay(self._store, question)
         if isinstance(question, questions.KeepTexts | questions.ReadTexts):
             if self._owner is not None:
                 self._owner.keep_texts()
--- a/src/clementineline/daemons/tests/test_metrics.py
+++ b/src/clementineline/daemons/tests/test_metrics.py
@@ -4,6 +4,7 @@
 from clementineline.daemons import metrics
 from clementineline.transport import frames
 from clementineline.transport import http
+from clementineline.transport import outgoing
 
 
 class TestMetrics:
@@ -34,7 +35,7 @@
         counted = metrics.Metrics({})
         counted.count('orders_total', outcome='accepted')
         await asyncio.create_task(counted.serve(address, log))
-        client = await http.connect(frames.parse_address(address), 1.0)
+        client = await outgoing.connect(frames.parse_address(address), 1.0)
         host = ((b'Host', address.encode()),)
         client.send_request(http.Head(b'GET', b'/metrics', host), b'')
         reply = await client.receive_head()
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -13,6 +13,7 @@
 from clementineline import errors
 from clementineline.state import objects
 from clementineline.transport import http
+from clementineline.transport import outgoing
 
 __all__ = ['ObjectStore']
 
@@ -375,7 +376,7 @@
             if client.reusable and now - client.used_at < IDLE_CONNECTION_S:
                 return client
             client.close()
-        return await http.connect(self._address, CONNECT_TIMEOUT_S)
+        return await outgoing.connect(self._address, CONNECT_TIMEOUT_S)
 
     def _give_back(self, client):
         if client.reusable and len(self._idle) < IDLE_CONNECTIONS_MAX:
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -14,6 +14,7 @@
 from clementineline.state import settings
 from clementineline.transport import frames
 from clementineline.transport import http
+from clementineline.transport import outgoing
 
 FAST_LEASE = settings.LeaseSettings(duration_s=0.6, renew_s=0.1, quiet_s=0.1)
 
@@ -90,7 +91,7 @@
         :returns: ``(status, headers, body)``
         """
         address = frames.parse_address(gateway.settings.http)
-        client = await http.connect(address, 1.0)
+        client = await outgoing.connect(address, 1.0)
         head = http.Head(
             method.encode(),
             target.encode(),
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -48,8 +48,7 @@
     ``down`` answers 503; ``lose_writes`` carries out this many writes without
     an answer; ``late_writes`` carries them out only with :meth:`apply_late`;
     ``lose_watches`` leaves this many watches without an answer for good;
-    ``page_size`` splits lists; ``refused`` holds addresses' names that get
-    503 (by the ``Host`` header being the same for all, by call count).
+    ``page_size`` splits lists.
     """
 
     def __init__(self, log):
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -129,6 +129,7 @@
 
     kinds: StoreKinds
     version_line: bytes
+    ready_path: bytes
 
     def decode_routes(self, value: dict) -> routes.RouteTable: ...
 
--- /dev/null
+++ b/src/clementineline/transport/outgoing.py
@@ -0,0 +1,145 @@
+"""The calling side of exact HTTP/1.1, one request at a time."""
+
+import asyncio
+
+import h11
+
+from clementineline import errors
+from clementineline.transport import channels
+
+__all__ = ['Client', 'connect']
+
+RESPONSE_HEAD_BYTES = 64 * 1024
+
+
+class Client:
+    """A connection to an endpoint; one request at a time.
+
+    :param channel: the open :class:`~channels.Channel`
+    """
+
+    __slots__ = ('_channel', '_protocol', 'reply', 'used_at')
+
+    def __init__(self, channel):
+        self._channel = channel
+        self._protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_BYTES
+        )
+        self.reply = None
+        self.used_at = asyncio.get_running_loop().time()
+
+    @property
+    def reusable(self):
+        """Whether another request may be sent on this connection."""
+        return (
+            self._protocol.our_state is h11.IDLE
+            and self._protocol.their_state is h11.IDLE
+            and not self._channel.has_unread
+            and not self._channel.has_unsent
+        )
+
+    def send_request(self, head, body):
+        """Send a whole request.
+
+        :param head: a :class:`~http.Head`, without framing headers
+        :param body: whole body
+        :raises errors.RequestError: if the head is not proper HTTP
+        """
+        headers = []
+        for key, value in head.headers:
+            if key.lower() != b'content-length':
+                headers.append((key, value))
+        if body or head.method not in (b'GET', b'HEAD', b'DELETE'):
+            headers.append((b'Content-Length', b'%d' % len(body)))
+        try:
+            data = self._protocol.send(
+                h11.Request(
+                    method=head.method, target=head.target, headers=headers
+                )
+            )
+            if body:
+                data += self._protocol.send(h11.Data(data=body))
+            data += self._protocol.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise errors.RequestError(400, f'malformed request: {error}')
+        self._channel.send(data)
+
+    async def receive_head(self):
+        """Read the start of the response, past informational ones.
+
+        :returns: the :class:`h11.Response`
+        :raises errors.ConnectionLost: if the connection ended before
+        :raises errors.ProtocolError: if the bytes are no response
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                self.reply = event
+                return event
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            raise errors.ConnectionLost('connection ended before a response')
+
+    async def receive_data(self):
+        """Return the next bytes of the body; None after the whole body.
+
+        :raises errors.ConnectionLost: if the connection ended before
+        :raises errors.ProtocolError: if the bytes are no response
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish_cycle()
+            return None
+        raise errors.ConnectionLost('connection ended within a response')
+
+    async def receive_body(self, max_bytes):
+        """Return the rest of the body.
+
+        :raises errors.ProtocolError: if it is larger than ``max_bytes``
+        """
+        body = bytearray()
+        while True:
+            data = await self.receive_data()
+            if data is None:
+                return bytes(body)
+            body += data
+            if len(body) > max_bytes:
+                raise errors.ProtocolError(f'response over {max_bytes} bytes')
+
+    async def _next_event(self):
+        try:
+            while True:
+                event = self._protocol.next_event()
+                if event is h11.NEED_DATA:
+                    self._protocol.receive_data(await self._channel.receive())
+                    continue
+                return event
+        except h11.RemoteProtocolError as error:
+            raise errors.ProtocolError(f'no HTTP response: {error}') from error
+
+    def _finish_cycle(self):
+        self.used_at = asyncio.get_running_loop().time()
+        if self._protocol.trailing_data[0]:
+            return
+        if self._protocol.our_state is not h11.DONE:
+            return
+        if self._protocol.their_state is not h11.DONE:
+            return
+        self._protocol.start_next_cycle()
+
+    def close(self):
+        """Close at once; an endpoint that still works on it stops."""
+        self._channel.abort()
+
+
+async def connect(address, timeout_s):
+    """Open a connection to an endpoint.
+
+    :param address: its :class:`~frames.Address`
+    :param timeout_s: longest time to wait, in seconds
+    :returns: the :class:`Client`
+    :raises errors.ConnectionLost: if it did not accept in time
+    """
+    return Client(await channels.open_channel(address, timeout_s))
--- a/src/clementineline/transport/tests/test_http.py
+++ b/src/clementineline/transport/tests/test_http.py
@@ -7,6 +7,7 @@
 from clementineline import errors
 from clementineline.transport import frames
 from clementineline.transport import http
+from clementineline.transport import outgoing
 
 
 async def answer_bytes(data, close='orderly', delay_s=0.0):
@@ -31,7 +32,7 @@
 
 
 async def exchange(address):
-    client = await http.connect(address, 1.0)
+    client = await outgoing.connect(address, 1.0)
     client.send_request(
         http.Head(b'GET', b'/x', ((b'Host', b'h.example'),)), b''
     )
