Let the last items of a step leave engines that are slow at this moment

A step waits for its longest item (186 events of 38 ms and more); a neighbour's burst lasts some 600 ms and makes events take 2.5 times as long, and moves came after half a second of slowness, to engines whose own pace was seconds old. Ruled out: loads (an item that met one took 7.57 s), prefill, the writer (0.02 s from the last item to its record). The trainer's own reads add up to 0.6 s. Change: an item whose next event is overdue asks its engine and up to five others for their load, and goes on at a fast one; a move takes its slot and memory at once (without it, nine items went to one engine and waited there up to 1.1 s); a run that an engine lets wait goes elsewhere; engines are asked once before a step is placed. A task cancelled before its first step no longer keeps a slot. Tests: an engine that turns slow makes one more event at the most (fails before); slots of items that ended before they began (fails before).

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -13,6 +13,8 @@
 # Share of the connections that an endpoint accepts from all callers.
 SHARE_OF_MAX = 0.1
 CONNECT_TIMEOUT_S = 0.4
+# Reports and health answers have some hundred bytes.
+EXCHANGE_BYTES_MAX = 1024 * 1024
 
 
 class ConnectionPool:
@@ -56,6 +58,27 @@
             return
         idle.append(client)
 
+    async def exchange(self, state, head, body=b''):
+        """Send a small request, and return its whole answer.
+
+        :param state: the :class:`~directory.EndpointState`
+        :param head: a :class:`~http.Head`
+        :returns: ``(response, body)``
+        :raises errors.ProtocolError: if there is no proper answer
+        """
+        client = await self.take(state)
+        done = False
+        try:
+            client.send_request(head, body)
+            reply = await client.receive_head()
+            answer = await client.receive_body(EXCHANGE_BYTES_MAX)
+            done = True
+        finally:
+            if not done:
+                client.close()
+        self.give_back(state, client)
+        return reply, answer
+
     def close_idle(self, known):
         """Close idle connections that are old or whose endpoint is gone.
 
--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -37,6 +37,7 @@
         'pace_at',
         'pace_s',
         'penalty_until',
+        'queued',
         'record',
         'slow_since',
         'slowness',
@@ -51,6 +52,7 @@
         self.item_runs = set()
         self.load = 0
         self.load_at = -LOAD_TTL_S
+        self.queued = 0
         self.slow_since = None
         self.slowness = 1.0
         self.failures = 0
@@ -92,6 +94,7 @@
             return
         self.load = max(0, facts.running + facts.waiting - self.in_flight)
         self.load_at = now
+        self.queued = facts.waiting
         self.slowness = facts.slowness
 
     def note_pace(self, event_s, now):
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -23,6 +23,8 @@
 # prompt is read anew within a few steps of the engine.
 SLOW_FACTOR = 1.8
 SLOW_PATIENCE_S = 0.5
+# Bursts of neighbours last some 600 ms.
+SLOWNESS_TTL_S = 0.3
 # Loads take longer while more than two engines load, on both sites' sheets.
 LOADS_AT_ONCE = 2
 # Trainers submit a step within a second of naming its version, as a rule.
@@ -33,17 +35,20 @@
 DEFAULT_VERSIONS_BEHIND = 1
 
 
-def choose_engine(candidates, model, version_min, now, excluded=()):
+def choose_engine(candidates, model, version_min, now, excluded=(), fits=None):
     """Choose the engine on which an item ends soonest.
 
     :param candidates: :class:`~directory.EndpointState` of the service
     :param model: the item's model, empty for none
     :param version_min: oldest version that may run it
     :param excluded: ids that should not get it
+    :param fits: function that returns whether an engine has the memory
     :returns: an :class:`~directory.EndpointState`, or None
     """
     best = None
     best_score = None
+    paces = [state.pace_s for state in candidates if state.pace_s]
+    usual_s = min(paces, default=None)
     for state in candidates:
         if state.id in excluded or now < state.penalty_until:
             continue
@@ -52,13 +57,27 @@
         running = len(state.item_runs)
         if running >= state.record.slots:
             continue
-        pace = state.pace_s or 0.0
-        score = (pace > 0 and round(math.log(pace, 1.5)), running, state.id)
-        if best is None or score < best_score:
+        slowness = _estimate_slowness(state, usual_s, now)
+        score = (round(math.log(slowness, 1.5)), running, state.id)
+        if best is not None and score >= best_score:
+            continue
+        if fits is None or fits(state):
             best, best_score = state, score
     return best
 
 
+def _estimate_slowness(state, usual_s, now):
+    """Return how many times as long as usual an event takes.
+
+    What the engine says counts while it is fresh, then what was seen there.
+    """
+    if now - state.load_at < SLOWNESS_TTL_S:
+        return max(state.slowness, 1.0)
+    if not state.pace_s:
+        return 1.0
+    return state.pace_s / usual_s
+
+
 def can_run(state, model, version_min):
     """Return whether an engine may run items of a model's version."""
     if not model:
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -5,16 +5,19 @@
 """
 
 import asyncio
-import collections
+import functools
 import time
 import zlib
 
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
+from clementineline.coordination import memory
 from clementineline.coordination import opensubmissions
 from clementineline.coordination import placement
+from clementineline.coordination import probing
 from clementineline.coordination import recording
+from clementineline.coordination import stragglers
 from clementineline.coordination import texts
 from clementineline import errors
 from clementineline.state import submissions
@@ -25,7 +28,9 @@
 LOAD_RETRY_S = 0.2
 REFUSED_PAUSE_S = 0.05
 BROKEN_PAUSE_S = 0.05
-MOVES_MAX = 3
+# Engines that are asked how slow they are when a submission opens, so that
+# probes do not grow with the fleet.
+PROBED_MAX = 12
 
 
 class StepOwner:
@@ -52,7 +57,10 @@
         '_may_lead',
         '_mirror',
         '_pool',
+        '_prober',
         '_shelf',
+        '_stopped',
+        '_stragglers',
         '_tasks',
         '_wakeup',
         'known',
@@ -90,6 +98,16 @@
         # Called with the end and the duration of each run, in seconds.
         self.on_run_end = lambda end, took_s: None
         self.writer = recording.ResultWriter(steps_ledger, may_lead, log)
+        self._prober = probing.LoadProber(pool, dialect, get_routes, log)
+        self._stragglers = stragglers.StragglerMover(
+            directory,
+            self._prober,
+            lambda: list(self.open.values()),
+            self._list_engines,
+            self._has_room,
+            log,
+        )
+        self._stopped = False
         self._tasks = set()
         self._wakeup = asyncio.Event()
         self.open = {}
@@ -163,6 +181,9 @@
         self.on_submission(submission)
         if inherited and not entry.complete:
             await self._mirror.gather([submission.id], self._shelf)
+        await self._prober.probe(
+            self._list_engines(submission, '')[:PROBED_MAX]
+        )
         if entry.ended:
             return
         for item in submission.items:
@@ -308,13 +329,14 @@
 
     async def run(self):
         """Start what can run until cancelled."""
+        self._spawn(self._stragglers.run())
         while True:
             self._wakeup.clear()
             # Items run on while the lease cannot be renewed: they may run
             # more than once, and positions are the ledger's.
             if self._may_lead():
                 self._give_up_old()
-            self._move_stragglers()
+            self._stragglers.leave_slow_engines()
             self._start_waiting()
             try:
                 async with asyncio.timeout(TICK_S):
@@ -346,25 +368,64 @@
             if now < run.not_before:
                 left.append(run)
                 continue
-            engines = self._list_engines(submission, run.item.id)
-            state = placement.choose_engine(
-                engines,
-                submission.model,
-                submission.version_min,
-                now,
-                run.avoid,
-            )
-            if state is None and run.avoid:
-                run.avoid = set()
+            state = self._choose_engine(submission, run, now)
             if state is None:
                 left.append(run)
                 continue
-            run.state = state
-            run.started_at = now
-            state.item_runs.add(run)
-            run.task = self._spawn(self._run(entry, run, state))
+            self._start_run(entry, run, state, now)
         entry.waiting = left
 
+    def _start_run(self, entry, run, state, now):
+        run.state = state
+        run.started_at = now
+        if not run.begun_at:
+            run.begun_at = now
+        state.item_runs.add(run)
+        run.task = self._spawn(self._run(entry, run, state))
+        run.task.add_done_callback(
+            functools.partial(self._release_unbegun, run, state)
+        )
+
+    def _release_unbegun(self, run, state, task):
+        # A task that is cancelled before its first step runs none of its own
+        # clean-up.
+        if run.task is task:
+            state.item_runs.discard(run)
+            run.task = None
+            run.state = None
+
+    def _go_on(self, entry, run):
+        """Go on with a run that was cancelled to move."""
+        run.moving = False
+        target, run.target = run.target, None
+        if target is not None:
+            target.item_runs.discard(run)
+        if self._stopped or entry.ended or run.item.id not in entry.runs:
+            return
+        if target is None:
+            entry.waiting.append(run)
+            self.wake()
+            return
+        now = asyncio.get_running_loop().time()
+        self._start_run(entry, run, target, now)
+
+    def _has_room(self, state, run):
+        table = self._get_routes()
+        service = table.services.get(state.record.service) if table else None
+        return memory.has_room(state, run, service)
+
+    def _choose_engine(self, submission, run, now):
+        engines = self._list_engines(submission, run.item.id)
+        wanted = (submission.model, submission.version_min, now)
+
+        def fits(state):
+            return self._has_room(state, run)
+
+        state = placement.choose_engine(engines, *wanted, run.avoid, fits)
+        if state is None and run.avoid:
+            run.avoid = set()
+        return state
+
     async def _run(self, entry, run, state):
         submission = entry.submission
         loop = asyncio.get_running_loop()
@@ -395,10 +456,7 @@
                 reason=reason,
             )
             if run.moving:
-                run.moving = False
-                if not entry.ended and run.item.id in entry.runs:
-                    entry.waiting.append(run)
-                    self.wake()
+                self._go_on(entry, run)
         if entry.ended or run.item.id not in entry.runs:
             return
         self._settle(entry, run, state, end, loop.time())
@@ -494,43 +552,6 @@
             return
         self._log.info('submission removed', submission=submission_id)
 
-    def _move_stragglers(self):
-        now = asyncio.get_running_loop().time()
-        services = collections.defaultdict(list)
-        for state in self._directory.endpoints.values():
-            services[state.record.service].append(state)
-        for engines in services.values():
-            placement.note_slow_engines(engines, now)
-        for entry in self.open.values():
-            if entry.ended or entry.waiting:
-                continue
-            submission = entry.submission
-            for run in list(entry.runs.values()):
-                if run.task is None or run.moving or run.moves >= MOVES_MAX:
-                    continue
-                if now - run.started_at < placement.SLOW_PATIENCE_S:
-                    continue
-                engines = self._list_engines(submission, run.item.id)
-                if not placement.has_faster_engine(
-                    run.state,
-                    engines,
-                    submission.model,
-                    submission.version_min,
-                    now,
-                ):
-                    continue
-                run.moves += 1
-                run.avoid.add(run.state.id)
-                self._log.info(
-                    'straggler moved',
-                    request=run.item.id,
-                    endpoint=run.state.id,
-                    pace_ms=round(run.state.pace_s * 1000),
-                    events=len(run.texts),
-                )
-                run.moving = True
-                run.task.cancel()
-
     # Reading.
 
     async def read(self, submission_id, after, wait_s):
@@ -569,6 +590,7 @@
 
     async def stop(self):
         """Cancel all runs and writers, and keep what is held of the items."""
+        self._stopped = True
         self.keep_texts()
         tasks = list(self._tasks)
         for task in tasks:
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -345,15 +345,5 @@
 
     async def _call(self, state, head, body):
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            client = await self._pool.take(state)
-            done = False
-            try:
-                client.send_request(head, body)
-                reply = await client.receive_head()
-                answer = await client.receive_body(1 << 20)
-                done = True
-            finally:
-                if not done:
-                    client.close()
-        self._pool.give_back(state, client)
+            reply, answer = await self._pool.exchange(state, head, body)
         return reply.status_code, answer
--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -47,12 +47,13 @@
     results: list[_Result]
 
 
-def _read_hint(headers):
+def _find_number(headers, name):
+    """Return the first number of an item's header, 0.0 if it has none."""
     for key, value in headers.items():
-        if key.lower() != 'length-hint':
+        if key.lower() != name:
             continue
         try:
-            return float(value)
+            return float(value.partition(',')[0])
         except ValueError:
             return 0.0
     return 0.0
@@ -82,7 +83,9 @@
                 body=item.body,
                 tokens=item.tokens,
                 group=item.group,
-                length_hint=_read_hint(item.headers),
+                length_hint=_find_number(item.headers, 'length-hint'),
+                # Prompt tokens come before the most output tokens.
+                prompt_tokens=int(_find_number(item.headers, 'token-usage')),
             )
         )
     return submissions.Submission(
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -55,20 +55,26 @@
         host.decode('latin-1').partition(':')[0].lower(),
         head.path.decode('latin-1'),
         timeout_ms / 1000 if timeout_ms is not None else None,
+        _read_integer(http.find_header(head.headers, b'last-event-id')) or 0,
     )
 
 
-def build_call(head, endpoint, timeout_s):
+def build_call(head, endpoint, timeout_s, resume_after=0):
     """Build the request that is passed on to a server.
 
     :param head: the caller's :class:`~http.Head`
     :param timeout_s: what is left of the caller's time, None for no limit
+    :param resume_after: number of the last event that the caller has
     """
     headers = []
     for key, value in http.strip_connection_headers(head.headers):
         if key.lower() in (b'expect-instance', b'timeout-ms', b'expect'):
             continue
+        if resume_after and key.lower() == b'last-event-id':
+            continue
         headers.append((key, value))
+    if resume_after:
+        headers.append((b'Last-Event-Id', b'%d' % resume_after))
     if timeout_s is not None:
         headers.append((b'Timeout-Ms', b'%d' % max(1, int(timeout_s * 1000))))
     headers.append((b'Expect-Instance', endpoint.id.encode()))
--- a/src/clementineline/platform/endpoints.py
+++ b/src/clementineline/platform/endpoints.py
@@ -9,6 +9,7 @@
 from clementineline.transport import http
 
 __all__ = [
+    'build_health_call',
     'build_order_call',
     'build_report_call',
     'decode_endpoint',
@@ -103,6 +104,15 @@
     )
 
 
+def build_health_call(service, endpoint):
+    """Build the request for an endpoint's health, and its load.
+
+    :param service: the endpoint's :class:`~routes.ServiceTarget`
+    """
+    path = service.health_path.encode('latin-1')
+    return http.Head(b'GET', path, _address_headers(endpoint))
+
+
 def build_report_call(endpoint):
     """Build the request for an engine's report."""
     return http.Head(b'GET', b'/api/report', _address_headers(endpoint))
--- a/src/clementineline/platform/manifest.py
+++ b/src/clementineline/platform/manifest.py
@@ -34,14 +34,19 @@
     name: str
 
 
-class _Engine(msgspec.Struct):
+class _Engine(msgspec.Struct, rename='camel'):
     slots: int = 0
+    # Tokens, though the name says nothing of the unit.
+    kv_capacity: int = 0
+    # Tokens that one event carries.
+    stride: int = 1
     models: list[_Model] = []
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     max_conns: int = 0
+    health_path: str = ''
     engine: _Engine | None = None
 
 
@@ -94,6 +99,9 @@
         service.max_conns,
         tuple(model.name for model in engine.models),
         engine.slots,
+        engine.kv_capacity,
+        engine.stride,
+        service.health_path,
     )
 
 
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -244,6 +244,9 @@
         self.delay_s = 0.0
         self.extra = b''
         self.accepted = 0
+        self.slowness = 1.0
+        self.probes = 0
+        self.made = 0
 
     def describe(self, service, zone='walvis-a', state='ready'):
         """Return the entry that the server writes in the store."""
@@ -278,11 +281,13 @@
         if path == '/api/order':
             await self._order(incoming)
             return
+        load = (b'Server-Load', b'1,0,4,%d' % (self.slowness * 100))
+        if path == '/health':
+            self.probes += 1
+            incoming.respond(200, (load,), b'')
+            return
         request_id = headers.get('request-id', '')
-        echo = (
-            (b'Request-Id', request_id.encode()),
-            (b'Server-Load', b'1,0,4,100'),
-        )
+        echo = ((b'Request-Id', request_id.encode()), load)
         if self.shed:
             incoming.respond(503, (*echo, (b'Not-Executed', b'1')), b'')
             return
@@ -319,11 +324,13 @@
                 text = b'weight-versions: %d\n' % version
             text += b'id: %d\ndata: e%d\n\n' % (number, number)
             channel.send(b'%x\r\n%s\r\n' % (len(text), text))
+            self.made += 1
             if self.break_after == number:
                 self.break_after = None
                 channel.abort()
                 return
         channel.send(b'0\r\n\r\n')
+        incoming.answered = True
         channel.close()
 
     def _report(self, incoming):
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path on the users' platform, in one process over loopback."""
 
 import asyncio
+import math
 
 from clementineline.platform.tests import standin
 from clementineline.transport import frames
@@ -111,6 +112,54 @@
                 resumed.append(headers.get('last-event-id'))
         assert '2' in resumed
 
+    async def test_last_item_leaves_an_engine_that_turns_slow(
+        self, served, wait_until
+    ):
+        for server in served.servers.values():
+            server.events = 60
+            server.gap_s = 0.02
+        gateway = served.gateways['gateway-1']
+        await served.submit(gateway, 's1', items=2)
+        first = served.servers['i-lm0']
+        leader = served.keepers[served.find_leader()]
+        await wait_until(lambda: leader._owner.open.get('s1'))
+        runs = leader._owner.open['s1'].runs
+        # Past the time in which prompts are read.
+        await wait_until(lambda: min(len(r.texts) for r in runs.values()) > 25)
+        (run,) = [r for r in runs.values() if r.state.id == 'i-lm0']
+        held = len(run.texts)
+        first.gap_s = 0.5
+        first.slowness = 25
+        results = await served.read_all(gateway, 's1', 2)
+        whole = '\n'.join(f'e{number}' for number in range(1, 61))
+        assert {result['text'] for result in results} == {whole}
+        second = served.servers['i-lm1']
+        moved = [run for run in second.runs if 'last-event-id' in run[1]]
+        assert len(moved) == 1
+        # The engine made one more event at the most.
+        assert int(moved[0][1]['last-event-id']) <= held + 1
+        assert second.probes
+
+    async def test_items_ended_before_they_began_hold_no_slot(
+        self, served, wait_until
+    ):
+        leader = served.keepers[served.find_leader()]
+        owner = leader._owner
+        gateway = served.gateways['gateway-1']
+        states = leader._directory.endpoints.values()
+        for state in states:
+            state.penalty_until = math.inf
+        await served.submit(gateway, 's1', items=4)
+        await wait_until(lambda: 's1' in owner.open)
+        entry = owner.open['s1']
+        await wait_until(lambda: len(entry.waiting) == 4)
+        for state in states:
+            state.penalty_until = 0.0
+        now = asyncio.get_running_loop().time()
+        owner._start_items(entry, now)
+        owner._end(entry)
+        await wait_until(lambda: not any(state.item_runs for state in states))
+
     async def test_impossible_item_is_abandoned(self, served):
         for name in ('i-lm0', 'i-lm1'):
             served.servers[name].fail_next = 100
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -51,12 +51,15 @@
 
     :param request_id: empty if it has none
     :param timeout_s: how long the caller waits, None if it does not say
+    :param last_event: number of the last event that the caller has of an
+        earlier stream, 0 for none
     """
 
     request_id: str
     host: str
     path: str
     timeout_s: float | None
+    last_event: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,12 +154,16 @@
 
     def encode_page(self, page: submissions.ResultPage) -> bytes: ...
 
-    def build_call(self, head, endpoint, timeout_s) -> http.Head: ...
+    def build_call(
+        self, head, endpoint, timeout_s, resume_after=0
+    ) -> http.Head: ...
 
     def build_item_call(
         self, submission, item, endpoint, resume_after
     ) -> http.Head: ...
 
+    def build_health_call(self, service, endpoint) -> http.Head: ...
+
     def build_report_call(self, endpoint) -> http.Head: ...
 
     def decode_report(self, body: bytes) -> directory.EngineReport: ...
--- a/src/clementineline/state/routes.py
+++ b/src/clementineline/state/routes.py
@@ -62,12 +62,18 @@
     :param connections_max: connections that an endpoint accepts in all
     :param models: models of its engines; empty for a plain service
     :param slots: generations that an engine runs at once
+    :param memory_tokens: tokens that an engine's memory holds, 0 if unknown
+    :param event_tokens: tokens that one event of a stream carries
+    :param health_path: path that answers whether an endpoint is healthy
     """
 
     name: str
     connections_max: int
     models: tuple[str, ...] = ()
     slots: int = 0
+    memory_tokens: int = 0
+    event_tokens: int = 1
+    health_path: str = ''
 
 
 class TrafficLimits(msgspec.Struct, frozen=True):
--- a/src/clementineline/state/submissions.py
+++ b/src/clementineline/state/submissions.py
@@ -27,6 +27,7 @@
     :param group: items of a group share their prompt; a trainer uses a
         group only when it is whole
     :param length_hint: estimated output tokens, 0 if unknown
+    :param prompt_tokens: tokens of the prompt, 0 if unknown
     """
 
     id: str
@@ -36,6 +37,7 @@
     tokens: int
     group: str
     length_hint: float = 0.0
+    prompt_tokens: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True):
