Pass live streams on event by event

Cause: a stream was buffered whole, so that each of its events came late, and a break lost all of it. Change: coordination/streaming.py passes whole events on as they come; where the route allows it, another endpoint goes on after the last event within the same response; else the response ends without its last chunk.

--- /dev/null
+++ b/src/clementineline/coordination/streaming.py
@@ -0,0 +1,209 @@
+"""Live streams: events are passed on as they arrive, each once.
+
+A caller sees one response. Where the route allows it, another endpoint goes
+on after the last event that was passed on; else a stream that breaks ends
+without its end, which the caller can tell from a whole one.
+"""
+
+import asyncio
+import random
+
+from clementineline.coordination import forwarding
+from clementineline import errors
+from clementineline.protocol import verdicts
+from clementineline.transport import events
+from clementineline.transport import http
+
+__all__ = ['StreamForwarder']
+
+# Callers abandon a stream after a gap of two seconds; a resumable one goes on
+# elsewhere in time.
+GAP_TIMEOUT_S = 1.0
+
+
+class _Stream:
+    """State of one stream.
+
+    :param last_event: number of the last event that was passed on
+    :param begun: whether the caller has the head of the response
+    """
+
+    __slots__ = ('begun', 'last_event', 'tried')
+
+    def __init__(self, last_event):
+        self.begun = False
+        self.last_event = last_event
+        self.tried = []
+
+
+class StreamForwarder:
+    """Passes live streams on.
+
+    :param directory: the :class:`~directory.Directory`
+    :param pool: the :class:`~connections.ConnectionPool`
+    :param dialect: the platform's :class:`~dialect.Dialect`
+    :param zone: zone of this process
+    :param log: logger
+    """
+
+    __slots__ = ('_dialect', '_directory', '_log', '_pool', '_zone')
+
+    def __init__(self, directory, pool, dialect, zone, log):
+        self._dialect = dialect
+        self._directory = directory
+        self._log = log
+        self._pool = pool
+        self._zone = zone
+
+    async def forward(self, route, incoming, facts, deadline):
+        """Pass a stream on until it ends.
+
+        :param incoming: the caller's :class:`~http.Incoming`
+        :param facts: its :class:`~dialect.CallFacts`
+        :param deadline: loop time at which the caller has left, in seconds
+        :returns: a verdict; :class:`~verdicts.Answered` with an empty body if
+            the caller has been sent the whole stream
+        """
+        service = forwarding.choose_service(route.targets, random.random())
+        stream = _Stream(facts.last_event)
+        last = verdicts.NotRun(
+            'no endpoint is known', forwarding.RETRY_AFTER_S
+        )
+        while len(stream.tried) < route.attempts_max:
+            state = forwarding.choose_endpoint(
+                self._directory.list_usable(service),
+                stream.tried,
+                self._zone,
+                asyncio.get_running_loop().time(),
+            )
+            if state is None:
+                break
+            stream.tried.append(state.id)
+            verdict = await self._attempt(
+                route, state, stream, incoming, deadline
+            )
+            if isinstance(verdict, verdicts.Answered):
+                return verdict
+            if isinstance(verdict, verdicts.MayHaveRun):
+                last = verdict
+                if not route.resumable:
+                    break
+            elif not isinstance(last, verdicts.MayHaveRun):
+                last = verdict
+            if asyncio.get_running_loop().time() >= deadline:
+                break
+        if stream.begun:
+            incoming.break_off()
+        return last
+
+    async def _attempt(self, route, state, stream, incoming, deadline):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        first = stream.last_event
+        state.in_flight += 1
+        verdict = None
+        try:
+            async with asyncio.timeout_at(deadline):
+                verdict = await self._exchange(
+                    route, state, stream, incoming, deadline
+                )
+        except TimeoutError:
+            verdict = verdicts.MayHaveRun('time limit')
+        finally:
+            state.in_flight -= 1
+            self._log.info(
+                'stream attempt',
+                request=incoming.request_id,
+                route=route.name,
+                endpoint=state.id,
+                attempt=len(stream.tried),
+                resumed_after=first,
+                last_event=stream.last_event,
+                took_ms=round((loop.time() - started) * 1000),
+                verdict=verdicts.name_verdict(verdict)
+                if verdict
+                else 'cancelled',
+                reason=getattr(verdict, 'reason', None),
+            )
+        if isinstance(verdict, verdicts.Answered):
+            state.note_success()
+        else:
+            state.note_failure(loop.time())
+        return verdict
+
+    async def _exchange(self, route, state, stream, incoming, deadline):
+        loop = asyncio.get_running_loop()
+        try:
+            client = await self._pool.take(state)
+        except errors.ConnectionLost as error:
+            return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
+        whole = False
+        try:
+            head = self._dialect.build_call(
+                incoming.head,
+                state.record,
+                deadline - loop.time(),
+                stream.last_event,
+            )
+            client.send_request(head, incoming.body)
+            gap_s = GAP_TIMEOUT_S if route.resumable else None
+            async with asyncio.timeout(gap_s):
+                reply = await client.receive_head()
+            headers = tuple(reply.headers.raw_items())
+            facts = self._dialect.read_reply(headers)
+            is_stream = reply.status_code == 200 and facts.signed
+            if not is_stream or facts.request_id != incoming.request_id:
+                body = await client.receive_body(forwarding.RESPONSE_MAX_BYTES)
+                whole = True
+                return self._judge(
+                    stream, incoming, reply.status_code, headers, facts, body
+                )
+            state.note_load(facts, loop.time())
+            if not stream.begun:
+                stream.begun = True
+                incoming.begin(200, http.strip_connection_headers(headers))
+            verdict = await self._relay(stream, incoming, client, gap_s)
+            whole = isinstance(verdict, verdicts.Answered)
+            return verdict
+        except (errors.ProtocolError, TimeoutError) as error:
+            if loop.time() >= deadline:
+                raise TimeoutError from error
+            return verdicts.MayHaveRun(repr(error))
+        finally:
+            if whole:
+                self._pool.give_back(state, client)
+            else:
+                client.close()
+
+    def _judge(self, stream, incoming, status, headers, facts, body):
+        """Give the verdict of a response that is no stream."""
+        if facts.not_run or status == 421:
+            return verdicts.NotRun(
+                f'endpoint refused with {status}', forwarding.RETRY_AFTER_S
+            )
+        ours = facts.request_id == incoming.request_id
+        if stream.begun or not ours or status < 300:
+            return verdicts.MayHaveRun(f'no stream: status {status}')
+        return verdicts.Answered(status, headers, body)
+
+    async def _relay(self, stream, incoming, client, gap_s):
+        """Pass whole events on; a piece of one is held back."""
+        splitter = events.EventSplitter()
+        while True:
+            async with asyncio.timeout(gap_s):
+                data = await client.receive_data()
+            if data is None:
+                break
+            for number, raw in splitter.feed(data):
+                if number is not None:
+                    if number <= stream.last_event:
+                        return verdicts.MayHaveRun(
+                            f'event {number} after {stream.last_event}'
+                        )
+                    stream.last_event = number
+                incoming.send(raw)
+            await incoming.drain()
+        if splitter.has_partial:
+            return verdicts.MayHaveRun('stream ended within an event')
+        incoming.finish()
+        return verdicts.Answered(200, (), b'')
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -8,6 +8,7 @@
 from clementineline.coordination import forwarding
 from clementineline.coordination import leaders
 from clementineline.coordination import opensubmissions
+from clementineline.coordination import streaming
 from clementineline.daemons import node
 from clementineline import errors
 from clementineline.protocol import verdicts
@@ -45,6 +46,9 @@
         self._forwarder = forwarding.CallForwarder(
             self._directory, self._pool, dialect, settings.zone, log
         )
+        self._streams = streaming.StreamForwarder(
+            self._directory, self._pool, dialect, settings.zone, log
+        )
         self._leaders = leaders.LeaderFinder(store, log)
         self._ended = collections.OrderedDict()
         self._server = http.Server(self._handle, http.ServerLimits(), log)
@@ -119,6 +123,7 @@
             status = 404 if self._routes_follower.current else 503
             self._refuse(incoming, facts, status, 'no route')
             return
+        incoming.request_id = facts.request_id
         if not facts.request_id:
             self._refuse(incoming, facts, 400, 'no request id')
             return
@@ -151,16 +156,19 @@
         limit_s = route.timeout_s
         if facts.timeout_s is not None:
             limit_s = min(limit_s, facts.timeout_s)
-        verdict = await self._forwarder.forward(
-            route,
-            incoming.head,
-            incoming.body,
-            facts,
-            incoming.arrived_at + limit_s,
-        )
+        deadline = incoming.arrived_at + limit_s
+        if route.streamed:
+            verdict = await self._streams.forward(
+                route, incoming, facts, deadline
+            )
+        else:
+            verdict = await self._forwarder.forward(
+                route, incoming.head, incoming.body, facts, deadline
+            )
         loop = asyncio.get_running_loop()
         took_s = loop.time() - incoming.arrived_at
         if isinstance(verdict, verdicts.Answered):
+            # A stream has been passed on by now; this does nothing then.
             headers = http.strip_connection_headers(verdict.headers)
             incoming.respond(verdict.status, headers, verdict.body)
             self._note_request(route, 'answered', took_s)
@@ -173,6 +181,15 @@
             )
             return
         self._note_request(route, verdicts.name_verdict(verdict), took_s)
+        if incoming.broken:
+            self._log.info(
+                'broken off',
+                request=facts.request_id,
+                route=route.name,
+                reason=verdict.reason,
+                took_ms=round(took_s * 1000),
+            )
+            return
         if isinstance(verdict, verdicts.NotRun):
             self._refuse(
                 incoming, facts, 503, verdict.reason, verdict.retry_after_s
--- a/src/clementineline/transport/events.py
+++ b/src/clementineline/transport/events.py
@@ -1,10 +1,14 @@
 """Reading a stream of server-sent events as it arrives."""
 
 import dataclasses
+import re
 
 from clementineline import errors
 
-__all__ = ['Event', 'EventReader']
+__all__ = ['Event', 'EventReader', 'EventSplitter']
+
+
+_EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +51,43 @@
         return found
 
 
+class EventSplitter:
+    """Splits a stream into the bytes of its events, none of them changed."""
+
+    __slots__ = ('_partial',)
+
+    def __init__(self):
+        self._partial = b''
+
+    @property
+    def has_partial(self):
+        """Whether the stream stands within an event."""
+        return bool(self._partial.strip())
+
+    def feed(self, data):
+        """Return ``(number, bytes)`` of each event that became whole.
+
+        The number is None where an event has none.
+        """
+        buffered = self._partial + data
+        found = []
+        start = 0
+        for match in _EVENT_END.finditer(buffered):
+            raw = buffered[start : match.end()]
+            found.append((_find_number(raw), raw))
+            start = match.end()
+        self._partial = buffered[start:]
+        return found
+
+
+def _find_number(raw):
+    for line in raw.splitlines():
+        name, _, value = line.partition(b':')
+        if name == b'id' and value.strip().isdigit():
+            return int(value)
+    return None
+
+
 def _parse_block(block):
     number = None
     data = []
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -132,6 +132,8 @@
     :param channel: the caller's connection
     :param protocol: the connection's :class:`h11.Connection`
     :param arrived_at: loop time at which its last byte was read, in seconds
+    :ivar broken: whether its answer was broken off
+    :ivar request_id: what the caller names it by, once that was read
     """
 
     __slots__ = (
@@ -141,7 +143,9 @@
         'answered',
         'arrived_at',
         'body',
+        'broken',
         'head',
+        'request_id',
     )
 
     def __init__(self, head, body, channel, protocol, server, arrived_at):
@@ -149,6 +153,8 @@
         self.body = body
         self.arrived_at = arrived_at
         self.answered = False
+        self.broken = False
+        self.request_id = ''
         self._channel = channel
         self._protocol = protocol
         self._server = server
@@ -192,6 +198,48 @@
         data += protocol.send(h11.EndOfMessage())
         self._channel.send(data)
 
+    def begin(self, status, headers):
+        """Send the start of an answer whose body follows in pieces."""
+        if self.answered or self._channel.lost:
+            return
+        self.answered = True
+        fields = []
+        for key, value in headers:
+            if key.lower() != b'content-length':
+                fields.append((key, value))
+        if self._server.draining:
+            fields.append((b'Connection', b'close'))
+        self._channel.send(
+            self._protocol.send(
+                h11.Response(
+                    status_code=status,
+                    headers=fields,
+                    reason=_REASONS.get(status, b'Status'),
+                )
+            )
+        )
+
+    def send(self, data):
+        """Send a piece of the body."""
+        self._channel.send(self._protocol.send(h11.Data(data=data)))
+
+    async def drain(self):
+        """Wait until the caller has taken most of what was sent."""
+        await self._channel.drain()
+
+    def finish(self):
+        """End the body: the answer is whole."""
+        self._channel.send(self._protocol.send(h11.EndOfMessage()))
+
+    def break_off(self):
+        """End the connection, so that the answer does not look whole."""
+        self.broken = True
+        if self._protocol.their_http_version == b'1.1':
+            # The last chunk is missing.
+            self._channel.close()
+        else:
+            self._channel.abort()
+
 
 class Server:
     """Accepts callers' connections, one task for each.
@@ -277,7 +325,7 @@
             if incoming is None:
                 return
             await self._run_handler(channel, incoming)
-            if not incoming.answered or channel.is_gone:
+            if not incoming.answered or incoming.broken or channel.is_gone:
                 return
             await channel.drain()
             if protocol.our_state is h11.MUST_CLOSE or self.draining:
