Accept submissions larger than a value of the store

Cause: a submission was one object, and results of one moment another; over the store's limit (1 MB) each attempt was refused for good. Size of a chunk of results counted text only, before its encoding. Change: items of a large submission are written in parts before it; the submission's own create still decides whether it was accepted. Chunks of results are cut by encoded size. The limit comes from the settings.

--- a/src/clementineline/coordination/ledger.py
+++ b/src/clementineline/coordination/ledger.py
@@ -1,10 +1,12 @@
 """The record of submissions: a log in the platform's store.
 
-A submission is one object. Its results are numbered chunks; the create that
+A submission is one object; the items of a large one stand in objects of their
+own, written before it. Its results are numbered chunks; the create that
 wins a number fixes the positions in it for everybody, whoever wrote it and
 however late. Nothing here depends on who owns a submission.
 """
 
+import dataclasses
 import urllib.parse
 
 import msgspec
@@ -12,27 +14,54 @@
 from clementineline import errors
 from clementineline.state import submissions
 
-__all__ = ['SUBMISSIONS_KIND', 'Ledger', 'decode_submission_object']
+__all__ = [
+    'SUBMISSIONS_KIND',
+    'Ledger',
+    'SubmissionRecord',
+    'decode_submission_object',
+    'split_items',
+]
 
 SUBMISSIONS_KIND = 'submissions'
 RESULTS_PREFIX = 'results-'
+ITEMS_PREFIX = 'items-'
+# Of the store's limit on a value: the rest is for what surrounds a part's
+# items or results.
+PART_SHARE = 0.7
 CHUNK_DIGITS = 6
 ENDED = {'ended': True}
 
 
+@dataclasses.dataclass(slots=True)
+class SubmissionRecord:
+    """A submission as its object says.
+
+    :param submission: the :class:`~submissions.Submission`, without items if
+        they stand in objects of their own
+    :param ended: whether its end was recorded
+    :param part_count: number of those objects
+    """
+
+    submission: submissions.Submission
+    ended: bool
+    part_count: int = 0
+
+
 def decode_submission_object(found):
     """Decode a submission's object.
 
     :param found: a :class:`~platform.PlatformObject`
-    :returns: ``(submission, ended)``; None if it cannot be read
+    :returns: a :class:`SubmissionRecord`; None if it cannot be read
     """
     try:
         submission = msgspec.convert(
             found.value.get('submission'), submissions.Submission
         )
+        part_count = msgspec.convert(found.value.get('parts', 0), int)
     except msgspec.ValidationError:
         return None
-    return submission, bool(found.status and found.status.get('ended'))
+    ended = bool(found.status and found.status.get('ended'))
+    return SubmissionRecord(submission, ended, part_count)
 
 
 def _quote(name):
@@ -43,11 +72,14 @@
     """Accepts, ends and reads submissions, and appends results.
 
     :param store: the client of the platform's store
+    :param value_bytes: largest value that the store takes
+    :ivar part_bytes: most bytes of items or results in one object
     """
 
-    __slots__ = ('_store',)
+    __slots__ = ('_store', 'part_bytes')
 
-    def __init__(self, store):
+    def __init__(self, store, value_bytes):
+        self.part_bytes = int(value_bytes * PART_SHARE)
         self._store = store
 
     async def accept(self, submission):
@@ -57,7 +89,13 @@
             recorded
         :raises errors.PlatformError: if it was not recorded
         """
-        value = {'submission': msgspec.to_builtins(submission)}
+        parts = split_items(submission.items, self.part_bytes)
+        value = {}
+        if len(parts) > 1:
+            await self._write_parts(submission.id, parts)
+            submission = msgspec.structs.replace(submission, items=())
+            value['parts'] = len(parts)
+        value['submission'] = msgspec.to_builtins(submission)
         try:
             await self._store.write(
                 SUBMISSIONS_KIND, _quote(submission.id), value, 0
@@ -65,6 +103,41 @@
         except errors.WriteConflict:
             return
 
+    async def _write_parts(self, submission_id, parts):
+        """Write the items; without the submission itself they mean nothing."""
+        kind = ITEMS_PREFIX + _quote(submission_id)
+        for number, part in enumerate(parts):
+            value = {'items': msgspec.to_builtins(part)}
+            try:
+                await self._store.write(kind, _name_chunk(number), value, 0)
+            except errors.WriteConflict:
+                # An earlier attempt wrote the same items.
+                continue
+            except errors.AmbiguousWrite as error:
+                raise errors.PlatformUnavailable(
+                    f'items of {submission_id}: {error}'
+                ) from error
+
+    async def read_items(self, submission_id, part_count):
+        """Read the items that stand in objects of their own.
+
+        :raises errors.PlatformError: if one is missing
+        """
+        kind = ITEMS_PREFIX + _quote(submission_id)
+        items = []
+        for number in range(part_count):
+            found = await self._store.read(kind, _name_chunk(number))
+            if found is None:
+                raise errors.PlatformError(
+                    f'{kind}: part {number} of {part_count} is missing'
+                )
+            items.extend(
+                msgspec.convert(
+                    found.value.get('items'), list[submissions.Item]
+                )
+            )
+        return tuple(items)
+
     async def end(self, submission_id):
         """Record the end of a submission; may be repeated.
 
@@ -77,12 +150,24 @@
     async def read(self, submission_id):
         """Read a submission.
 
-        :returns: ``(submission, ended)``; None if there is none
+        :returns: the :class:`~submissions.Submission`; None if there is none
         """
         found = await self._store.read(SUBMISSIONS_KIND, _quote(submission_id))
         if found is None:
             return None
-        return decode_submission_object(found)
+        record = decode_submission_object(found)
+        if record is None:
+            raise errors.PlatformError(
+                f'{SUBMISSIONS_KIND}/{submission_id}: not a submission'
+            )
+        return await self.complete(record)
+
+    async def complete(self, record):
+        """Return a :class:`SubmissionRecord`'s submission with its items."""
+        if not record.part_count:
+            return record.submission
+        items = await self.read_items(record.submission.id, record.part_count)
+        return msgspec.structs.replace(record.submission, items=items)
 
     async def append(self, submission_id, number, chunk):
         """Create a chunk of results.
@@ -115,13 +200,38 @@
             )
         return chunks
 
-    async def remove(self, submission_id, chunk_count):
-        """Remove a submission and its chunks."""
-        kind = RESULTS_PREFIX + _quote(submission_id)
-        for number in range(chunk_count):
-            await self._store.delete(kind, _name_chunk(number))
+    async def remove(self, submission_id, chunk_count, part_count):
+        """Remove a submission, its chunks and the objects of its items."""
+        for prefix, count in (
+            (RESULTS_PREFIX, chunk_count),
+            (ITEMS_PREFIX, part_count),
+        ):
+            kind = prefix + _quote(submission_id)
+            for number in range(count):
+                await self._store.delete(kind, _name_chunk(number))
         await self._store.delete(SUBMISSIONS_KIND, _quote(submission_id))
 
 
+def split_items(items, bytes_max):
+    """Split items into parts that fit into a value each.
+
+    :param bytes_max: largest encoded size of a part's items
+    :returns: list of tuples, one at least
+    """
+    parts = []
+    part = []
+    size = 0
+    for item in items:
+        item_bytes = len(msgspec.json.encode(item))
+        if part and size + item_bytes > bytes_max:
+            parts.append(tuple(part))
+            part = []
+            size = 0
+        part.append(item)
+        size += item_bytes
+    parts.append(tuple(part))
+    return parts
+
+
 def _name_chunk(number):
     return f'{number:0{CHUNK_DIGITS}d}'
--- a/src/clementineline/coordination/opensubmissions.py
+++ b/src/clementineline/coordination/opensubmissions.py
@@ -14,8 +14,9 @@
 class OpenSubmission:
     """A submission with its results so far.
 
-    :param submission: the :class:`~submissions.Submission`
-    :param ended: whether its end was recorded
+    :param record: its :class:`~ledger.SubmissionRecord`
+    :ivar submission: the :class:`~submissions.Submission`; its items are
+        there once it is loaded
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         'loaded',
         'loading',
         'positions',
+        'record',
         'results',
         'runs',
         'submission',
@@ -34,9 +36,10 @@
         'writer',
     )
 
-    def __init__(self, submission, ended):
-        self.submission = submission
-        self.ended = ended
+    def __init__(self, record):
+        self.record = record
+        self.submission = record.submission
+        self.ended = record.ended
         self.loaded = False
         self.loading = asyncio.Lock()
         self.chunk_count = 0
--- a/src/clementineline/coordination/recording.py
+++ b/src/clementineline/coordination/recording.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from clementineline import errors
 from clementineline.state import submissions
 
@@ -11,7 +13,6 @@
 # them; trainers read about twice a second.
 APPEND_INTERVAL_S = 0.45
 APPEND_RETRY_S = 0.2
-CHUNK_BYTES_MAX = 700_000
 
 
 def is_urgent(entry):
@@ -69,10 +70,10 @@
         chosen = []
         size = 0
         for result in entry.finished.values():
-            if chosen and size + len(result.text) > CHUNK_BYTES_MAX:
+            size += len(msgspec.json.encode(result))
+            if chosen and size > self._ledger.part_bytes:
                 break
             chosen.append(result)
-            size += len(result.text)
         number = entry.chunk_count
         chunk = submissions.ResultChunk(len(entry.results), tuple(chosen))
         try:
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -123,14 +123,14 @@
             if decoded is None:
                 self._log.error('unreadable submission', name=found.name)
                 continue
-            submission, ended = decoded
+            submission = decoded.submission
             entry = self.open.get(submission.id)
             if entry is None:
-                entry = opensubmissions.OpenSubmission(submission, ended)
+                entry = opensubmissions.OpenSubmission(decoded)
                 self.open[submission.id] = entry
-                if not ended:
+                if not decoded.ended:
                     self._spawn(self._start(entry, not self.known))
-            elif ended and not entry.ended:
+            elif decoded.ended and not entry.ended:
                 self._end(entry)
         for name in removed:
             self.open.pop(name, None)
@@ -156,6 +156,7 @@
         """Read a submission's results once."""
         async with entry.loading:
             while not entry.loaded:
+                entry.submission = await self._ledger.complete(entry.record)
                 chunks = await self._ledger.read_chunks(entry.submission.id)
                 for chunk in chunks:
                     entry.add_chunk(chunk)
@@ -166,8 +167,7 @@
 
         :param inherited: whether another owner may have begun it
         """
-        submission = entry.submission
-        age_s = time.time() - submission.accepted_at
+        age_s = time.time() - entry.submission.accepted_at
         while not entry.loaded:
             # A fresh submission is nobody's yet; its first create is checked
             # by the store all the same.
@@ -178,6 +178,7 @@
                 await asyncio.sleep(LOAD_RETRY_S)
         if entry.ended:
             return
+        submission = entry.submission
         self.on_submission(submission)
         if inherited and not entry.complete:
             await self._mirror.gather([submission.id], self._shelf)
@@ -545,7 +546,9 @@
         self.open.pop(submission_id, None)
         try:
             await self.load(entry)
-            await self._ledger.remove(submission_id, entry.chunk_count)
+            await self._ledger.remove(
+                submission_id, entry.chunk_count, entry.record.part_count
+            )
         except errors.PlatformError as error:
             self._log.info('submission not removed', e=str(error))
             self.open[submission_id] = entry
--- a/src/clementineline/coordination/tests/test_recording.py
+++ b/src/clementineline/coordination/tests/test_recording.py
@@ -3,6 +3,7 @@
 import pytest
 
 from clementineline.coordination import itemruns
+from clementineline.coordination import ledger as ledgers
 from clementineline.coordination import opensubmissions
 from clementineline.coordination import recording
 from clementineline import errors
@@ -12,6 +13,8 @@
 class FakeLedger:
     """Chunks in memory; ``faults`` are raised by the next appends."""
 
+    part_bytes = 1 << 20
+
     def __init__(self):
         self.chunks = []
         self.faults = []
@@ -52,10 +55,12 @@
         for number in range(count)
     )
     entry = opensubmissions.OpenSubmission(
-        submissions.Submission(
-            's1', 'r', 'lm', 'h', 'm0', 1, count // 2, 0, 0.0, items
-        ),
-        False,
+        ledgers.SubmissionRecord(
+            submissions.Submission(
+                's1', 'r', 'lm', 'h', 'm0', 1, count // 2, 0, 0.0, items
+            ),
+            False,
+        )
     )
     for item in items:
         entry.runs[item.id] = itemruns.ItemRun(item)
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -308,7 +308,7 @@
         results = []
         for chunk in await self._ledger.read_chunks(call.submission_id):
             results.extend(chunk.results)
-        return opensubmissions.build_page(found[0], results, call.after)
+        return opensubmissions.build_page(found, results, call.after)
 
     async def _read_item(self, call):
         question = questions.ReadBody(call.submission_id, call.item_id)
@@ -322,7 +322,7 @@
             listed = set()
             for chunk in await self._ledger.read_chunks(call.submission_id):
                 listed.update(result.item_id for result in chunk.results)
-            body = opensubmissions.find_body(found[0], listed, call.item_id)
+            body = opensubmissions.find_body(found, listed, call.item_id)
         if body is None:
             return 404, (), b''
         return 200, ((b'Content-Type', b'application/octet-stream'),), body
--- a/src/clementineline/daemons/node.py
+++ b/src/clementineline/daemons/node.py
@@ -53,7 +53,7 @@
             dialect.kinds.routes, self._apply_routes
         )
         self._pool = connections.ConnectionPool()
-        self._ledger = ledger.Ledger(store)
+        self._ledger = ledger.Ledger(store, settings.value_bytes)
         self._members = members.Members(
             settings.name, settings.listen, self.KEEPS, store, log
         )
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -28,8 +28,9 @@
     lease_ms: float = 3000.0
 
 
-class _Store(msgspec.Struct):
+class _Store(msgspec.Struct, rename='camel'):
     address: str
+    value_bytes: int = 1024 * 1024
 
 
 class _Node(msgspec.Struct, rename='camel'):
@@ -69,6 +70,7 @@
         store=node.platform.address,
         grace_s=node.bounds.grace_s,
         metrics=f'{node.ip}:{METRICS_PORT}',
+        value_bytes=node.platform.value_bytes,
     )
 
 
@@ -91,4 +93,5 @@
         retain_s=node.bounds.status_s + RETAIN_MARGIN_S,
         lease=lease,
         metrics=f'{node.ip}:{METRICS_PORT}',
+        value_bytes=node.platform.value_bytes,
     )
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -29,6 +29,7 @@
         self.gateways = {}
         self.keepers = {}
         self.clients = {}
+        self.value_bytes = 1 << 20
 
     def build_store_client(self, name):
         client = objects.ObjectStore(
@@ -53,6 +54,7 @@
             listen=f'127.0.0.1:{standin.find_port()}',
             store=self.store.address,
             grace_s=4.2,
+            value_bytes=self.value_bytes,
         )
         store = self.build_store_client(name)
         gateway = gateways.Gateway(
@@ -70,6 +72,7 @@
             listen=f'127.0.0.1:{standin.find_port()}',
             store=self.store.address,
             lease=FAST_LEASE,
+            value_bytes=self.value_bytes,
         )
         store = self.build_store_client(name)
         keeper = keepers.Keeper(loaded, store, dialect.WireDialect(), self.log)
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -62,6 +62,7 @@
         self.hold_writes = 0
         self.lose_watches = 0
         self.page_size = 500
+        self.value_bytes = 1 << 20
         self.late = []
         self.calls = []
         self._changed = asyncio.Event()
@@ -198,6 +199,8 @@
 
     def _write(self, method, kind, names, body):
         given = json.loads(body) if body else {}
+        if len(json.dumps(given.get('spec'))) > self.value_bytes:
+            return 413, {}
         metadata = given.get('metadata', {})
         name = names[0] if names else metadata['name']
         current = self.objects.get((kind, name))
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -26,6 +26,8 @@
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+# The object API of the platforms so far takes a megabyte.
+VALUE_BYTES = 1024 * 1024
 CountOrNone = typing.Annotated[int, msgspec.Meta(ge=0)]
 Name = typing.Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
@@ -212,6 +214,7 @@
     :param store: ``HOST:PORT`` of the platform's store
     :param grace_s: time between the stop signal and the kill
     :param metrics: ``HOST:PORT`` for metrics, empty for none
+    :param value_bytes: largest value that the platform's store takes
     """
 
     name: Name
@@ -222,6 +225,7 @@
     store: str
     grace_s: Positive = 8.0
     metrics: str = ''
+    value_bytes: Count = VALUE_BYTES
 
 
 class KeeperSettings(_Settings):
@@ -234,6 +238,7 @@
     :param retain_s: how long a submission is kept after it was accepted
     :param lease: times of the leader's lease
     :param metrics: ``HOST:PORT`` for metrics, empty for none
+    :param value_bytes: largest value that the platform's store takes
     """
 
     name: Name
@@ -243,6 +248,7 @@
     retain_s: Positive = 180.0
     lease: LeaseSettings = LeaseSettings()
     metrics: str = ''
+    value_bytes: Count = VALUE_BYTES
 
 
 def _check_addresses(value, where):
