Hear of a manifest while the store drops its history, and load more at once

A watch that ended empty within the gap moved on past the change, too. Change: watches wait 2.5 s, and one without changes goes on where it began, so that the next one is told that the history is gone. Test of the follower: fails before.

--- a/src/clementineline/coordination/following.py
+++ b/src/clementineline/coordination/following.py
@@ -13,9 +13,11 @@
 
 __all__ = ['Follower']
 
-# A watch costs one call however long it waits; keep-alive probes find a
-# silent connection sooner than its answer would.
-WATCH_WAIT_S = 8.0
+# A store that drops its history may leave a watch waiting that has missed
+# changes, while stale lists are six seconds behind: only the next watch hears
+# that the history is gone. A manifest must be in force within 2 s of its
+# acknowledgement or 3 s of the store's trouble, so watches are short.
+WATCH_WAIT_S = 2.5
 # A missed change has to be in force before the VM counts as undisturbed again,
 # three seconds after the loss.
 CHECK_INTERVAL_S = 1.2
@@ -114,8 +116,10 @@
             self.version = None
             return
         self._note_answer()
-        self.version = max(self.version, page.version)
+        # An answer without changes may hide some that the store has not told
+        # yet, so the next watch begins where this one did.
         if page.objects or page.removed:
+            self.version = max(self.version, page.version)
             self._names.update(found.name for found in page.objects)
             self._names.difference_update(page.removed)
             self._on_objects(page.objects, page.removed, False)
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -13,6 +13,7 @@
     'can_run',
     'choose_engine',
     'choose_loads',
+    'count_loads_at_once',
     'has_faster_engine',
     'note_slow_engines',
     'order_waiting',
@@ -25,8 +26,10 @@
 SLOW_PATIENCE_S = 0.5
 # Bursts of neighbours last some 600 ms.
 SLOWNESS_TTL_S = 0.3
-# Loads take longer while more than two engines load, on both sites' sheets.
-LOADS_AT_ONCE = 2
+# Loads take longer while more engines than this load at once: 2 of 6 on the
+# small sites' sheets, 8 of 19 and 10 of 25 on the grown ones'.
+LOADS_SHARE = 0.4
+LOADS_MIN = 2
 # Trainers submit a step within a second of naming its version, as a rule.
 LOAD_PATIENCE_S = 1.5
 # Work as it is seen varies from step to step by a third or so.
@@ -207,7 +210,12 @@
     return assignment
 
 
-def choose_loads(engines, named, demand, named_age_s, loading):
+def count_loads_at_once(engine_count):
+    """Return how many of a service's engines may load together."""
+    return max(LOADS_MIN, int(engine_count * LOADS_SHARE))
+
+
+def choose_loads(engines, named, demand, named_age_s, loads_free):
     """Choose the engines that load a model's named version now.
 
     A load stops new starts on its engine for about a second. So an engine
@@ -219,7 +227,8 @@
     :param named: the newest version, with its model
     :param demand: the :class:`ModelDemand` of the model
     :param named_age_s: how long ago the version was named
-    :param loading: number of engines that load now
+    :param loads_free: how many more engines may begin to load without making
+        each load longer
     :returns: list of engines
     """
     model, version = named
@@ -236,7 +245,7 @@
         elif _is_lull(demand, next_min, named_age_s):
             later.append(state)
     later.sort(key=lambda state: (len(state.item_runs), state.id))
-    free = max(0, LOADS_AT_ONCE - loading - len(chosen))
+    free = max(0, loads_free - len(chosen))
     return chosen + later[:free]
 
 
--- a/src/clementineline/coordination/tests/test_following.py
+++ b/src/clementineline/coordination/tests/test_following.py
@@ -86,6 +86,24 @@
         assert await store.watches.get() == 9
         assert store.lists == 2
 
+    async def test_watch_without_changes_goes_on_where_it_began(self, follow):
+        # Own day history-dropped, wbm-smoke, seed 8: a watch that ended while
+        # the store told no changes skipped them, and the next one, begun
+        # after them, never heard that the history was gone.
+        store = FakeStore()
+        follow(store, check_s=0)
+        assert await store.watches.get() == 1
+        store.answers.put_nowait(objects.ObjectPage(7, [], []))
+        assert await store.watches.get() == 1
+        store.version = 8
+        store.answers.put_nowait(errors.HistoryGone('gone'))
+        assert await store.watches.get() == 8
+
+    def test_watch_is_short_enough_for_a_manifest(self):
+        # The same day: a watch of 8 s stayed silent for 5.6 s after the
+        # change; the store's trouble counts for 3 s after its end.
+        assert following.WATCH_WAIT_S < 3.0
+
     async def test_lost_answer_of_a_watch_is_found_by_a_list(
         self, follow, wait_until
     ):
--- a/src/clementineline/coordination/tests/test_placement.py
+++ b/src/clementineline/coordination/tests/test_placement.py
@@ -158,15 +158,15 @@
         engine = build_engine('a', m0=1)
         busy = placement.ModelDemand(waiting=3, version_min=1)
         busy.version_newest = 1
-        assert not placement.choose_loads([engine], ('m0', 2), busy, 9.0, 0)
+        assert not placement.choose_loads([engine], ('m0', 2), busy, 9.0, 2)
         lull = placement.ModelDemand(0, 0, 1)
-        chosen = placement.choose_loads([engine], ('m0', 2), lull, 0.1, 0)
+        chosen = placement.choose_loads([engine], ('m0', 2), lull, 0.1, 2)
         assert chosen == [engine]
 
     def test_engine_too_old_for_what_waits_loads_at_once(self):
         engines = [build_engine(name, m0=1) for name in 'abc']
         demand = placement.ModelDemand(3, 2, 2)
-        chosen = placement.choose_loads(engines, ('m0', 3), demand, 0.0, 2)
+        chosen = placement.choose_loads(engines, ('m0', 3), demand, 0.0, 0)
         assert chosen == engines
 
     def test_engine_too_old_for_the_next_step_loads_before_it_comes(self):
@@ -181,16 +181,22 @@
     def test_trainer_that_accepts_old_versions_lets_engines_wait(self):
         engine = build_engine('a', m0=4)
         demand = placement.ModelDemand(0, 0, 2, 3)
-        assert not placement.choose_loads([engine], ('m0', 6), demand, 0.0, 0)
+        assert not placement.choose_loads([engine], ('m0', 6), demand, 0.0, 2)
 
     def test_few_load_together_in_a_lull(self):
         engines = [build_engine(name, m0=1) for name in 'abc']
         lull = placement.ModelDemand(0, 0, 2)
         chosen = placement.choose_loads(engines, ('m0', 2), lull, 0.0, 1)
-        assert len(chosen) == placement.LOADS_AT_ONCE - 1
+        assert len(chosen) == 1
+
+    @pytest.mark.parametrize(
+        ('engines', 'together'), [(1, 2), (6, 2), (19, 7), (25, 10)]
+    )
+    def test_more_load_together_in_a_larger_fleet(self, engines, together):
+        assert placement.count_loads_at_once(engines) == together
 
     def test_version_nobody_asks_for_is_loaded_in_the_end(self):
         engine = build_engine('a', m0=1)
         idle = placement.ModelDemand()
-        assert not placement.choose_loads([engine], ('m0', 2), idle, 0.5, 0)
-        assert placement.choose_loads([engine], ('m0', 2), idle, 2.0, 0)
+        assert not placement.choose_loads([engine], ('m0', 2), idle, 0.5, 2)
+        assert placement.choose_loads([engine], ('m0', 2), idle, 2.0, 2)
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -175,7 +175,7 @@
                 (model, self.named[model]),
                 demand,
                 now - self._named_at[model],
-                len(self._tasks),
+                placement.count_loads_at_once(len(engines)) - len(self._tasks),
             )
             for state in chosen:
                 self._start_order(state, model)
