Move only the items that a step may wait for

Cause: a burst on one engine moved up to ten items at once to the same target, most of them a few events before their end. Change: of each step the sixth that is expected to last longest, four at least, is looked at; what outgrew its length hint counts by what it has made.

--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -104,7 +104,7 @@
             self._prober,
             lambda: list(self.open.values()),
             self._list_engines,
-            self._has_room,
+            self._get_service,
             log,
         )
         self._stopped = False
@@ -411,9 +411,11 @@
         self._start_run(entry, run, target, now)
 
     def _has_room(self, state, run):
+        return memory.has_room(state, run, self._get_service(state))
+
+    def _get_service(self, state):
         table = self._get_routes()
-        service = table.services.get(state.record.service) if table else None
-        return memory.has_room(state, run, service)
+        return table.services.get(state.record.service) if table else None
 
     def _choose_engine(self, submission, run, now):
         engines = self._list_engines(submission, run.item.id)
--- a/src/clementineline/coordination/stragglers.py
+++ b/src/clementineline/coordination/stragglers.py
@@ -9,7 +9,10 @@
 
 import asyncio
 import collections
+import heapq
+import math
 
+from clementineline.coordination import memory
 from clementineline.coordination import placement
 from clementineline.coordination import probing
 
@@ -17,6 +20,7 @@
     'StragglerMover',
     'choose_probed',
     'choose_target',
+    'estimate_left',
     'find_typical_pace',
     'is_overdue',
 ]
@@ -24,6 +28,10 @@
 CHECK_S = 0.02
 # Before it, prompts are read and no engine has a free slot for a move.
 TAIL_AGE_S = 0.4
+# Items of a step that may be its last; moving the others with them would only
+# fill the engine that they go to.
+TAIL_SHARE = 1 / 6
+TAIL_MIN = 4
 # An event is overdue at this multiple of the time that events usually take.
 OVERDUE_FACTOR = 1.4
 # How much slower the engine must say it is than the one that goes on: the
@@ -46,6 +54,16 @@
     return paces[(len(paces) - 1) // 2]
 
 
+def estimate_left(run, event_tokens):
+    """Estimate how many events an item still makes.
+
+    One that outgrew its hint has a long tail: the more it has made, the more
+    is to be expected.
+    """
+    made = len(run.texts)
+    return max(run.item.length_hint / event_tokens - made, made / 2)
+
+
 def is_overdue(run, typical_s, now):
     """Whether an item's next event is late enough to ask why.
 
@@ -127,14 +145,14 @@
     :param list_open: function that returns the open submissions
     :param list_engines: function from a submission and an item's id to the
         engines that the item may run at
-    :param has_room: function from an engine and a run to whether its memory
-        takes it
+    :param get_service: function from an engine to its
+        :class:`~routes.ServiceTarget`, or None
     :param log: logger
     """
 
     __slots__ = (
         '_directory',
-        '_has_room',
+        '_get_service',
         '_list_engines',
         '_list_open',
         '_log',
@@ -142,10 +160,10 @@
     )
 
     def __init__(
-        self, directory, prober, list_open, list_engines, has_room, log
+        self, directory, prober, list_open, list_engines, get_service, log
     ):
         self._directory = directory
-        self._has_room = has_room
+        self._get_service = get_service
         self._list_engines = list_engines
         self._list_open = list_open
         self._log = log
@@ -174,15 +192,31 @@
         typical = {}
         for service, engines in self._group_engines().items():
             typical[service] = find_typical_pace(engines)
-        overdue = []
+        tails = collections.defaultdict(list)
         for entry, run in self._list_settled():
-            typical_s = typical.get(run.state.record.service)
-            if typical_s and is_overdue(run, typical_s, now):
-                overdue.append((entry, run))
-        # Free slots are few; the items that last longest get them.
-        overdue.sort(key=lambda pair: -pair[1].item.length_hint)
+            tails[entry].append(run)
+        overdue = []
+        for entry, runs in tails.items():
+            for run in self._choose_tail(entry, runs):
+                typical_s = typical.get(run.state.record.service)
+                if typical_s and is_overdue(run, typical_s, now):
+                    overdue.append((entry, run))
         return overdue
 
+    def _choose_tail(self, entry, runs):
+        """Return the runs that the step may wait for, the longest first."""
+        count = math.ceil(len(entry.submission.items) * TAIL_SHARE)
+        service = self._get_service(runs[0].state)
+        event_tokens = service.event_tokens if service else 1
+        return heapq.nlargest(
+            max(count, TAIL_MIN),
+            runs,
+            key=lambda run: estimate_left(run, event_tokens),
+        )
+
+    def _has_room(self, state, run):
+        return memory.has_room(state, run, self._get_service(state))
+
     def _group_engines(self):
         services = collections.defaultdict(list)
         for state in self._directory.endpoints.values():
--- a/src/clementineline/coordination/tests/test_stragglers.py
+++ b/src/clementineline/coordination/tests/test_stragglers.py
@@ -64,6 +64,18 @@
         assert stragglers.find_typical_pace([engines[2]]) is None
 
 
+class TestTail:
+    @pytest.mark.parametrize(
+        ('hint', 'made', 'left'),
+        [(1000, 0, 20), (1000, 15, 7.5), (1000, 19, 9.5), (0, 100, 50)],
+    )
+    def test_outgrown_hint_means_a_long_tail(self, hint, made, left):
+        run = build_run(
+            item=types.SimpleNamespace(length_hint=hint), texts=['x'] * made
+        )
+        assert stragglers.estimate_left(run, 50) == left
+
+
 class TestTarget:
     def choose(self, current, others, now=10.0, room=has_room, **fields):
         run = build_run(current, **fields)
