Go on with a text of one version only where that version is

Change: where one version must make the whole text, an item goes on, moves and is carried over only with engines that have the version it holds; if none has, it begins anew at once. Test: two items broken off at engines of different versions run twice each, at their own engine (fails before).

--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -15,6 +15,7 @@
     'choose_loads',
     'count_loads_at_once',
     'has_faster_engine',
+    'keep_version',
     'note_slow_engines',
     'order_waiting',
     'share_engines',
@@ -69,6 +70,16 @@
     return best
 
 
+def keep_version(engines, model, version):
+    """Return the engines that have a version of a model, and keep it."""
+    kept = []
+    for state in engines:
+        if model in state.changing or state.versions.get(model) != version:
+            continue
+        kept.append(state)
+    return kept
+
+
 def _estimate_slowness(state, usual_s, now):
     """Return how many times as long as usual an event takes.
 
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -103,7 +103,7 @@
             directory,
             self._prober,
             lambda: list(self.open.values()),
-            self._list_engines,
+            self._list_engines_for,
             self._get_service,
             log,
         )
@@ -229,7 +229,7 @@
         if submission.model:
             if min(kept.versions, default=0) < submission.version_min:
                 return
-        if self._is_single_version(submission) and not kept.whole:
+        if self._is_single_version(submission) and len(kept.versions) != 1:
             return
         run.texts = list(kept.events)
         run.versions = list(kept.versions)
@@ -355,6 +355,19 @@
         service = forwarding.choose_service(route.targets, draw)
         return self._directory.list_usable(service)
 
+    def _list_engines_for(self, submission, run):
+        """Return the engines that may go on with a run.
+
+        Where one version must make the whole text, these are the engines that
+        have the version of what is held.
+        """
+        engines = self._list_engines(submission, run.item.id)
+        if not run.texts or not self._is_single_version(submission):
+            return engines
+        return placement.keep_version(
+            engines, submission.model, run.versions[-1]
+        )
+
     def _start_waiting(self):
         now = asyncio.get_running_loop().time()
         for entry in self.open.values():
@@ -418,7 +431,11 @@
         return table.services.get(state.record.service) if table else None
 
     def _choose_engine(self, submission, run, now):
-        engines = self._list_engines(submission, run.item.id)
+        engines = self._list_engines_for(submission, run)
+        if not engines and run.texts:
+            # No engine has the version any more that made the text.
+            run.forget_text()
+            engines = self._list_engines(submission, run.item.id)
         wanted = (submission.model, submission.version_min, now)
 
         def fits(state):
--- a/src/clementineline/coordination/stragglers.py
+++ b/src/clementineline/coordination/stragglers.py
@@ -143,8 +143,8 @@
     :param directory: the :class:`~directory.Directory`
     :param prober: the :class:`~probing.LoadProber`
     :param list_open: function that returns the open submissions
-    :param list_engines: function from a submission and an item's id to the
-        engines that the item may run at
+    :param list_engines: function from a submission and a run to the engines
+        that may go on with it
     :param get_service: function from an engine to its
         :class:`~routes.ServiceTarget`, or None
     :param log: logger
@@ -230,7 +230,7 @@
             return
         loop = asyncio.get_running_loop()
         run.moved_at = loop.time()
-        engines = self._list_engines(submission, run.item.id)
+        engines = self._list_engines(submission, run)
         wanted = (submission.model, submission.version_min)
         probed = choose_probed(current, engines, *wanted, loop.time())
         if len(probed) < 2:
@@ -277,7 +277,7 @@
                 continue
             if not placement.has_faster_engine(
                 run.state,
-                self._list_engines(submission, run.item.id),
+                self._list_engines(submission, run),
                 submission.model,
                 submission.version_min,
                 now,
--- a/src/clementineline/coordination/tests/test_placement.py
+++ b/src/clementineline/coordination/tests/test_placement.py
@@ -53,6 +53,16 @@
         assert placement.choose_engine([slow, fast], 'm0', 1, 0.0) is fast
 
 
+class TestKeepVersion:
+    def test_engines_that_have_it_and_do_not_change(self):
+        engines = [build_engine(name, m0=2) for name in 'ab']
+        engines.append(build_engine('c', m0=3))
+        engines[1].changing.add('m0')
+        kept = placement.keep_version(engines, 'm0', 2)
+        assert [state.id for state in kept] == ['a']
+        assert placement.keep_version(engines, 'm1', 2) == []
+
+
 class TestStragglers:
     def test_slow_engine_loses_runs_only_after_a_while(self):
         slow = build_engine('a', running=2, pace_s=0.15, m0=1)
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -227,6 +227,35 @@
             fences.update(order['fencingToken'] for order in engine.orders)
         assert len(fences) == 1
 
+    async def test_text_of_one_version_is_not_gone_on_with_another(
+        self, served, wait_until
+    ):
+        # A variant of wbm-smoke with singleVersion: items that went on at an
+        # engine of another version began anew at their end.
+        manifest = standin.build_manifest(2)
+        manifest['routes'][1]['singleVersion'] = True
+        served.store.put('config', 'main', manifest)
+        old, new = served.servers['i-lm0'], served.servers['i-lm1']
+        leader = served.keepers[served.find_leader()]
+        await wait_until(lambda: leader._routes.table.version == 2)
+        new.versions['m0'] = 2
+        entry = new.describe('lm')
+        served.store.put('servers', 'i-lm1', entry)
+        states = leader._directory.endpoints
+        await wait_until(lambda: states['i-lm1'].versions['m0'] == 2)
+        old.events = new.events = 20
+        old.gap_s = new.gap_s = 0.02
+        old.break_after = new.break_after = 10
+        gateway = served.gateways['gateway-1']
+        await served.submit(gateway, 's1', items=2)
+        results = await served.read_all(gateway, 's1', 2)
+        assert {len(result['versions']) for result in results} == {1}
+        for server, other in ((old, new), (new, old)):
+            broken = [run[0] for run in server.runs]
+            again = [run for run in other.runs if run[0] in broken]
+            assert not again
+        assert len(old.runs + new.runs) == 4
+
     async def test_unanswered_order_is_sent_again(self, served, wait_until):
         engines = [served.servers['i-lm0'], served.servers['i-lm1']]
         for engine in engines:
