Remove members that are gone for good

Cause: a VM that is replaced left its entry behind for ever; every new leader asked it for texts, and relays were tried through it. Change: the leader looks at two members each two seconds, and removes one that has not accepted a connection for a minute; a member that misses itself in the list registers again.

--- a/src/clementineline/coordination/members.py
+++ b/src/clementineline/coordination/members.py
@@ -65,9 +65,21 @@
                 self._log.info('members not read', reason=str(error))
             else:
                 self._take(page.objects)
+                if self._name not in {found.name for found in page.objects}:
+                    # The list may be older than the entry, which is read.
+                    await self._register()
             wait_s = REFRESH_S if self.others else REGISTER_RETRY_S
             await asyncio.sleep(links.jitter(wait_s))
 
+    async def remove(self, name):
+        """Remove a member that is gone for good.
+
+        :raises errors.PlatformError: if the store does not do it
+        """
+        await self._store.delete(MEMBERS_KIND, name)
+        self.others.pop(name, None)
+        self.keepers.discard(name)
+
     def _take(self, objects):
         others = {}
         keepers = set()
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_departures.py
@@ -0,0 +1,118 @@
+import asyncio
+import types
+
+import pytest
+
+from clementineline.coordination import departures
+from clementineline.coordination import members
+from clementineline import errors
+from clementineline.state import objects
+
+
+class FakeStore:
+    """Members' entries in memory."""
+
+    def __init__(self, *names):
+        self.entries = {name: '10.0.0.1:9000' for name in names}
+        self.down = False
+
+    async def delete(self, kind, name):
+        if self.down:
+            raise errors.PlatformUnavailable('down')
+        del self.entries[name]
+
+    async def read(self, kind, name):
+        if name not in self.entries:
+            return None
+        value = {'address': self.entries[name]}
+        return objects.PlatformObject(kind, name, 1, value)
+
+    async def write(self, kind, name, value, expected):
+        self.entries[name] = value['address']
+
+    async def list_objects(self, kind, stale=False):
+        listed = [await self.read(kind, name) for name in self.entries]
+        return objects.ObjectPage(1, listed, [])
+
+
+@pytest.fixture
+def fleet(clock, log, monkeypatch):
+    """A leader that knows three members, of which some answer."""
+    monkeypatch.setattr(departures, 'TICK_S', 0.0)
+    store = FakeStore('a', 'b', 'c')
+    known = members.Members('me', '10.0.0.9:1', True, store, log)
+    known.others = dict(store.entries)
+    silent = set()
+    looked = asyncio.Queue()
+
+    async def answers(address):
+        name = sweeper._looking
+        looked.put_nowait(name)
+        return name not in silent
+
+    class Sweeper(departures.DepartureSweeper):
+        async def _look_at(self, name):
+            self._looking = name
+            await super()._look_at(name)
+
+    fleet = types.SimpleNamespace(
+        store=store, members=known, silent=silent, leads=True, looked=looked
+    )
+    sweeper = Sweeper(known, lambda: fleet.leads, clock, log, answers)
+    fleet.sweeper = sweeper
+    return fleet
+
+
+async def look_often(fleet, count):
+    task = asyncio.create_task(fleet.sweeper.run())
+    async with asyncio.timeout(5):
+        for _ in range(count):
+            await fleet.looked.get()
+    task.cancel()
+
+
+class TestDepartures:
+    async def test_member_that_is_silent_for_a_minute_is_removed(
+        self, fleet, clock
+    ):
+        fleet.silent.add('b')
+        await look_often(fleet, 6)
+        clock.time_s += departures.GONE_AFTER_S - 1
+        await look_often(fleet, 6)
+        assert 'b' in fleet.store.entries
+        clock.time_s += 2
+        await look_often(fleet, 6)
+        assert sorted(fleet.store.entries) == ['a', 'c']
+        assert sorted(fleet.members.others) == ['a', 'c']
+
+    async def test_member_that_answered_meanwhile_stays(self, fleet, clock):
+        fleet.silent.add('b')
+        await look_often(fleet, 6)
+        fleet.silent.clear()
+        clock.time_s += departures.GONE_AFTER_S / 2
+        await look_often(fleet, 6)
+        fleet.silent.add('b')
+        clock.time_s += departures.GONE_AFTER_S / 2 + 1
+        await look_often(fleet, 6)
+        assert 'b' in fleet.store.entries
+
+    async def test_outage_of_the_store_only_delays_it(self, fleet, clock):
+        fleet.silent.add('b')
+        fleet.store.down = True
+        await look_often(fleet, 6)
+        clock.time_s += departures.GONE_AFTER_S + 1
+        await look_often(fleet, 6)
+        fleet.store.down = False
+        await look_often(fleet, 6)
+        assert 'b' not in fleet.store.entries
+
+    async def test_member_that_misses_itself_registers_again(
+        self, fleet, monkeypatch, wait_until
+    ):
+        monkeypatch.setattr(members, 'REFRESH_S', 0.01)
+        task = asyncio.create_task(fleet.members.run())
+        await wait_until(lambda: 'me' in fleet.store.entries)
+        await asyncio.sleep(0)
+        del fleet.store.entries['me']
+        await wait_until(lambda: 'me' in fleet.store.entries)
+        task.cancel()
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+from clementineline.coordination import departures
 from clementineline.coordination import lease
 from clementineline.coordination import ledger
 from clementineline.coordination import stepowner
@@ -52,6 +53,9 @@
         )
         self._shelf = texts.TextShelf()
         self._mirror = texts.TextMirror(self._members, log)
+        self._departures = departures.DepartureSweeper(
+            self._members, self._may_lead, self._clock, log
+        )
         self._text_log = None
         if settings.data_dir:
             self._text_log = textlog.TextLog(
@@ -182,6 +186,7 @@
             self._tasks.keep(owner.run, 'steps'),
             self._tasks.keep(orders.run, 'orders'),
             self._tasks.start(self._mirror.run(owner.list_runs), 'mirror'),
+            self._tasks.keep(self._departures.run, 'departures'),
         ]
         self._log.info('leading', fence=self._lease.fence)
 
