--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -9,6 +9,7 @@
 import time
 import zlib
 
+from clementineline.coordination import carryover
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
@@ -18,7 +19,6 @@
 from clementineline.coordination import probing
 from clementineline.coordination import recording
 from clementineline.coordination import stragglers
-from clementineline.coordination import texts
 from clementineline import errors
 from clementineline.state import submissions
 
@@ -191,7 +191,12 @@
             if item.id in entry.positions:
                 continue
             run = itemruns.ItemRun(item)
-            self._reuse_text(submission, run)
+            carryover.take_text(
+                self._shelf,
+                submission,
+                run,
+                self._is_single_version(submission),
+            )
             entry.runs[item.id] = run
             if run.whole:
                 entry.finished[item.id] = run.build_result()
@@ -219,22 +224,6 @@
         )
         self.wake()
 
-    def _reuse_text(self, submission, run):
-        kept = self._shelf.take(run.item.id)
-        if kept is None:
-            return
-        run.carried = kept.submission_id != submission.id
-        if not kept.events:
-            return
-        if submission.model:
-            if min(kept.versions, default=0) < submission.version_min:
-                return
-        if self._is_single_version(submission) and len(kept.versions) != 1:
-            return
-        run.texts = list(kept.events)
-        run.versions = list(kept.versions)
-        run.whole = kept.whole
-
     def _is_single_version(self, submission):
         table = self._get_routes()
         route = table.find(submission.route) if table else None
@@ -270,7 +259,7 @@
         for run in entry.runs.values():
             if run.task is not None:
                 run.task.cancel()
-        self._keep_texts(entry)
+        carryover.keep_texts(self._shelf, entry)
         entry.waiting.clear()
         if entry.writer is not None:
             entry.writer.cancel()
@@ -283,39 +272,11 @@
         )
         self.wake()
 
-    def _keep_texts(self, entry):
-        """Keep what is held of groups that are not whole."""
-        submission_id = entry.submission.id
-        groups = {item.id: item.group for item in entry.submission.items}
-        broken = {groups[item_id] for item_id in entry.runs}
-        broken.update(groups[item_id] for item_id in entry.finished)
-        for item_id, run in entry.runs.items():
-            kept = texts.KeptText(
-                submission_id,
-                run.run_id,
-                list(run.texts),
-                list(run.versions),
-            )
-            self._shelf.put(item_id, kept)
-        for result in [*entry.results, *entry.finished.values()]:
-            if groups.get(result.item_id) not in broken:
-                continue
-            if result.state != submissions.COMPLETED:
-                continue
-            kept = texts.KeptText(
-                submission_id,
-                '',
-                [result.text],
-                list(result.versions),
-                True,
-            )
-            self._shelf.put(result.item_id, kept)
-
     def keep_texts(self):
         """Keep what is held of all open submissions."""
         for entry in self.open.values():
             if not entry.ended:
-                self._keep_texts(entry)
+                carryover.keep_texts(self._shelf, entry)
 
     def list_runs(self):
         """Return ``(submission id, run)`` of the unfinished items."""
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -125,7 +125,9 @@
         await wait_until(lambda: leader._owner.open.get('s1'))
         runs = leader._owner.open['s1'].runs
         # Past the time in which prompts are read.
-        await wait_until(lambda: min(len(r.texts) for r in runs.values()) > 25)
+        await wait_until(
+            lambda: min((len(r.texts) for r in runs.values()), default=0) > 25
+        )
         (run,) = [r for r in runs.values() if r.state.id == 'i-lm0']
         held = len(run.texts)
         first.gap_s = 0.5
