--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -1,3 +1,4 @@
+import asyncio
 import types
 
 import pytest
@@ -105,6 +106,29 @@
         assert own.take('i1').events == ['a', 'b']
         assert own.take('i2') is None
 
+    async def test_keeper_that_is_gone_is_hardly_waited_for(
+        self, keepers, log, monkeypatch
+    ):
+        # Incident inc-bf95: 0.4 s of each change of the leader.
+        monkeypatch.setattr(texts, 'GATHER_TIMEOUT_S', 60.0)
+        monkeypatch.setattr(texts, 'LAST_KEEPER_WAIT_S', 0.01)
+        known, shelves = keepers
+        shelves['k1'].extend(build_part(0, ['a']))
+        silent = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        port = silent.sockets[0].getsockname()[1]
+        known.others['k3'] = f'127.0.0.1:{port}'
+        known.keepers.add('k3')
+        mirror = texts.TextMirror(known, log)
+        own = texts.TextShelf()
+        async with asyncio.timeout(10):
+            await mirror.gather(['s1'], own)
+        assert own.take('i1').events == ['a']
+        # A later question to it is not held up by this one.
+        assert not mirror._askers['k3']._lock.locked()
+        silent.close()
+
     async def test_only_what_has_grown_is_sent(self, keepers, log):
         known, _ = keepers
         mirror = texts.TextMirror(known, log)
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -23,6 +23,8 @@
 MIRROR_INTERVAL_S = 0.4
 # A member that is cut off or frozen must not hold a new owner up.
 GATHER_TIMEOUT_S = 0.4
+# An answer within a zone or to the next takes some milliseconds.
+LAST_KEEPER_WAIT_S = 0.1
 # A keeper that did not answer is asked again after this time.
 REST_S = 3.0
 COPIES_MAX = 2
@@ -191,18 +193,43 @@
         """
         question = questions.ReadTexts(list(submission_ids))
         names = self._members.list_keepers()
-        answers = await asyncio.gather(
-            *(self._ask(name, question) for name in names)
-        )
+        answers = await self._ask_all(names, question)
         count = 0
         for answer in answers:
-            if not isinstance(answer, questions.TextsAnswer):
-                continue
             for part in answer.parts:
                 shelf.extend(part)
                 count += 1
         self._log.info('texts gathered', members=len(names), texts=count)
 
+    async def _ask_all(self, names, question):
+        """Ask keepers, and hardly wait for the last one.
+
+        Each text has two copies, so one keeper that is gone, most often the
+        owner before, hides none.
+        """
+        pending = {
+            asyncio.create_task(self._ask(name, question)) for name in names
+        }
+        answers = []
+        while pending:
+            wait_s = None
+            if len(pending) == 1 and answers:
+                wait_s = LAST_KEEPER_WAIT_S
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=wait_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            for task in done:
+                answer = task.result()
+                if isinstance(answer, questions.TextsAnswer):
+                    answers.append(answer)
+        for task in pending:
+            task.cancel()
+        return answers
+
     async def _ask(self, name, question):
         """Ask a keeper; None if it does not answer in time."""
         now = asyncio.get_running_loop().time()
