Let the owner read the ledger again where others may be ahead of it

A create that gets no answer in time, or whose owner is told of the submission's end meanwhile, may stand in the ledger and not in the owner's memory; gateways that cannot ask the owner read the ledger. Change: from the start of a create until it is answered the owner is unsure; a read beyond what it holds then reads the ledger first. A chunk that was read before its create is answered counts once.

--- a/src/clementineline/coordination/opensubmissions.py
+++ b/src/clementineline/coordination/opensubmissions.py
@@ -17,6 +17,8 @@
     :param record: its :class:`~ledger.SubmissionRecord`
     :ivar submission: the :class:`~submissions.Submission`; its items are
         there once it is loaded
+    :ivar unsure_at: loop time, in seconds, since when the ledger may hold a
+        chunk that is not held here; None if it holds none
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         'results',
         'runs',
         'submission',
+        'unsure_at',
         'waiting',
         'writer',
     )
@@ -50,6 +53,7 @@
         self.waiting = []
         self.changed = asyncio.Event()
         self.due = asyncio.Event()
+        self.unsure_at = None
         self.writer = None
 
     def count_whole_groups(self):
@@ -65,6 +69,9 @@
 
     def add_chunk(self, chunk):
         """Take a chunk that is recorded; its positions are final."""
+        if chunk.first < len(self.results):
+            # It was read from the ledger before its create was answered.
+            return
         self.chunk_count += 1
         for result in chunk.results:
             self.positions[result.item_id] = len(self.results)
--- a/src/clementineline/coordination/recording.py
+++ b/src/clementineline/coordination/recording.py
@@ -76,12 +76,16 @@
             chosen.append(result)
         number = entry.chunk_count
         chunk = submissions.ResultChunk(len(entry.results), tuple(chosen))
+        # Until it is answered, and if it never is, others may read it first.
+        entry.unsure_at = asyncio.get_running_loop().time()
         try:
             await self._ledger.append(submission_id, number, chunk)
         except errors.WriteConflict:
             await self._adopt(entry, number)
             return
         except errors.PlatformError as error:
+            if not isinstance(error, errors.AmbiguousWrite):
+                entry.unsure_at = None
             self._log.info(
                 'results not recorded',
                 submission=submission_id,
@@ -90,6 +94,7 @@
             )
             await asyncio.sleep(APPEND_RETRY_S)
             return
+        entry.unsure_at = None
         entry.add_chunk(chunk)
         self.on_recorded(len(chosen))
         self._log.info(
@@ -115,4 +120,5 @@
                 chunk=number,
                 results=len(chunk.results),
             )
+            entry.unsure_at = None
             entry.add_chunk(chunk)
--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -28,6 +28,11 @@
 LOAD_RETRY_S = 0.2
 REFUSED_PAUSE_S = 0.05
 BROKEN_PAUSE_S = 0.05
+# Readers may find a chunk in the ledger before its create is answered here;
+# what was read once must be there a second later.
+UNSURE_S = 0.3
+# A create without an answer may be carried out six seconds later.
+LATE_WRITE_S = 8.0
 # Engines that are asked how slow they are when a submission opens, so that
 # probes do not grow with the fleet.
 PROBED_MAX = 12
@@ -549,6 +554,8 @@
             return None
         if not entry.loaded:
             await self.load(entry)
+        if after >= len(entry.results) and entry.unsure_at is not None:
+            await self._catch_up(entry)
         if after >= len(entry.results) and not entry.complete:
             if wait_s > 0 and not entry.ended:
                 try:
@@ -560,6 +567,27 @@
             entry.submission, entry.results, after
         )
 
+    async def _catch_up(self, entry):
+        """Take chunks of the ledger that others may have read already.
+
+        :raises errors.PlatformError: if the ledger cannot be read now
+        """
+        age_s = asyncio.get_running_loop().time() - entry.unsure_at
+        if age_s < UNSURE_S:
+            return
+        began_at = entry.unsure_at
+        chunks = await self._ledger.read_chunks(entry.submission.id)
+        for chunk in chunks:
+            entry.add_chunk(chunk)
+        if age_s > LATE_WRITE_S and entry.unsure_at == began_at:
+            entry.unsure_at = None
+        self._log.info(
+            'ledger read again',
+            submission=entry.submission.id,
+            unsure_s=round(age_s, 2),
+            listed=len(entry.results),
+        )
+
     async def read_body(self, submission_id, item_id):
         """Return ``(known, body)`` of an item that is not listed."""
         entry = self.open.get(submission_id)
--- a/src/clementineline/coordination/tests/test_recording.py
+++ b/src/clementineline/coordination/tests/test_recording.py
@@ -136,6 +136,45 @@
         assert entry.results[0] == other
         assert sorted(ledger.list_items()) == ['i0', 'i1', 'i2', 'i3']
 
+    async def test_create_without_an_answer_leaves_the_owner_unsure(
+        self, ledger, start
+    ):
+        entry = build_entry()
+        ledger.faults = [errors.PlatformUnavailable('503')]
+        writing = start(entry)
+        finish(entry, 'i0')
+        while not ledger.late:
+            await asyncio.sleep(0.001)
+        assert entry.unsure_at is None
+        ledger.late.clear()
+        ledger.faults = [errors.AmbiguousWrite('no answer')] * 2
+        while not ledger.late:
+            await asyncio.sleep(0.001)
+        assert entry.unsure_at is not None
+        finish(entry, 'i1', 'i2', 'i3')
+        async with asyncio.timeout(5):
+            await writing
+        assert entry.unsure_at is None
+
+    async def test_chunk_that_was_read_first_counts_once(self, ledger, start):
+        entry = build_entry()
+        append = ledger.append
+
+        async def append_slowly(*arguments):
+            await append(*arguments)
+            for chunk in ledger.chunks:
+                entry.add_chunk(chunk)
+
+        ledger.append = append_slowly
+        writing = start(entry)
+        finish(entry, 'i0', 'i1')
+        await asyncio.sleep(0.05)
+        finish(entry, 'i2', 'i3')
+        async with asyncio.timeout(5):
+            await writing
+        assert [r.item_id for r in entry.results] == ledger.list_items()
+        assert len(entry.results) == 4
+
     async def test_nothing_is_recorded_without_the_lease(self, ledger, start):
         entry = build_entry()
         leads = []
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -3,7 +3,14 @@
 import asyncio
 import math
 
+import pytest
+
+from clementineline.coordination import ledger
+from clementineline.coordination import recording
+from clementineline.coordination import stepowner
+from clementineline import errors
 from clementineline.platform.tests import standin
+from clementineline.state import dialect as dialects
 from clementineline.transport import frames
 
 
@@ -342,6 +349,42 @@
         for _, headers, _ in engine.runs[4:]:
             assert int(headers.get('last-event-id', 0)) > 0
 
+    @pytest.mark.parametrize('ended', [False, True])
+    async def test_owner_is_not_behind_what_others_read(
+        self, served, wait_until, monkeypatch, ended
+    ):
+        # sweep-100 of wbm-smoke-grown: results that had been read from the
+        # ledger were not there where the owner answered.
+        monkeypatch.setattr(stepowner, 'UNSURE_S', 0.0)
+        gateway = served.gateways['gateway-1']
+        leader = served.keepers[served.find_leader()]
+        append = leader._ledger.append
+        appended = asyncio.Event()
+
+        async def append_without_answer(*arguments):
+            await append(*arguments)
+            appended.set()
+            if ended:
+                await asyncio.sleep(60)
+            raise errors.AmbiguousWrite('no answer')
+
+        monkeypatch.setattr(
+            ledger.Ledger, 'append', lambda _, *a: append_without_answer(*a)
+        )
+        monkeypatch.setattr(recording, 'APPEND_RETRY_S', 60.0)
+        await served.submit(gateway, 's1')
+        await appended.wait()
+        if ended:
+            status, _, _ = await served.call(gateway, 'DELETE', '/api/lots/s1')
+            assert status == 200
+            await wait_until(lambda: leader._owner.open['s1'].ended)
+        recorded = await gateway._read_recorded(
+            dialects.BatchCall(dialects.BatchVerb.READ_RESULTS, 's1')
+        )
+        assert recorded.results
+        _, page = await served.read(gateway, 's1')
+        assert len(page['results']) >= len(recorded.results)
+
     async def test_items_run_on_while_the_store_is_out(
         self, served, wait_until
     ):
