Tell the owner of a submission's end at once

The owner heard of ends from a watch alone, which an overloaded leader is slow to read. Change: the gateway that has recorded an end tells the owner, which cancels the runs; the watch stays as the other way. Result: a test in which no watch tells the end (fails before).

--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -142,6 +142,12 @@
         if whole:
             self.known = True
 
+    def note_end(self, submission_id):
+        """End a submission whose end is recorded, before the watch tells."""
+        entry = self.open.get(submission_id)
+        if entry is not None and not entry.ended:
+            self._end(entry)
+
     def wake(self):
         """Look again at what can run: something has changed."""
         self._wakeup.set()
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -327,6 +327,10 @@
             return 404, (), b''
         return 200, ((b'Content-Type', b'application/octet-stream'),), body
 
+    async def _tell_end(self, submission_id):
+        """Tell the owner, which hears it from the store in the end."""
+        await self._ask(questions.NoteEnd(submission_id))
+
     async def _end_submission(self, call):
         if call.submission_id not in self._ended:
             try:
@@ -337,6 +341,7 @@
             if not known:
                 return 404, (), b''
             self._ended[call.submission_id] = True
+            self._tasks.start(self._tell_end(call.submission_id), 'end')
             if len(self._ended) > ENDED_KEPT_MAX:
                 self._ended.popitem(last=False)
         return 200, (), b''
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -222,6 +222,9 @@
         owner = self._owner
         if owner is None or not owner.known or not self._may_lead():
             return questions.NotLeading(self._lease.known_holder)
+        if isinstance(question, questions.NoteEnd):
+            owner.note_end(question.submission_id)
+            return questions.Noted()
         try:
             if isinstance(question, questions.ReadResults):
                 page = await owner.read(
--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -205,6 +205,23 @@
         status, _, _ = await served.call(gateway, 'DELETE', '/api/lots/s1')
         assert status == 200
 
+    async def test_owner_hears_of_an_end_that_no_watch_tells(
+        self, served, wait_until, monkeypatch
+    ):
+        for name in ('i-lm0', 'i-lm1'):
+            served.servers[name].gap_s = 0.5
+        gateway = served.gateways['gateway-1']
+        await served.submit(gateway, 's1', items=4)
+        leader = served.keepers[served.find_leader()]
+        await wait_until(lambda: leader._owner.list_runs())
+        monkeypatch.setattr(
+            ledger, 'decode_submission_object', lambda found: None
+        )
+        status, _, _ = await served.call(gateway, 'DELETE', '/api/lots/s1')
+        assert status == 200
+        await wait_until(lambda: leader._owner.open['s1'].ended)
+        assert not leader._owner.list_runs()
+
     async def test_body_of_an_item_until_it_is_listed(self, served):
         for name in ('i-lm0', 'i-lm1'):
             served.servers[name].gap_s = 0.3
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -9,6 +9,8 @@
     'BodyAnswer',
     'KeepTexts',
     'NotLeading',
+    'NoteEnd',
+    'Noted',
     'PageAnswer',
     'Question',
     'ReadBody',
@@ -60,6 +62,16 @@
     body: bytes | None
 
 
+class NoteEnd(msgspec.Struct, frozen=True, tag='note_end'):
+    """Says that a submission's end is recorded."""
+
+    submission_id: str
+
+
+class Noted(msgspec.Struct, frozen=True, tag='noted'):
+    """What was said is known."""
+
+
 class RelayCall(msgspec.Struct, frozen=True, tag='relay'):
     """Asks to make a call to the platform's store."""
 
@@ -123,10 +135,11 @@
     parts: list[TextPart]
 
 
-Question = ReadResults | ReadBody | RelayCall | KeepTexts | ReadTexts
+Question = ReadResults | ReadBody | NoteEnd | RelayCall | KeepTexts | ReadTexts
 Answer = (
     NotLeading
     | Unknown
+    | Noted
     | PageAnswer
     | BodyAnswer
     | RelayAnswer
