Read events and build heads of answers in one place

Cause: reading the change: two splitters of event streams, two builders of the head of an answer, a task of the stragglers that a restart of its parent would have started twice and that nothing restarted, and an index into versions that a response without its version header leaves empty. Change: EventReader stands on EventSplitter; one _build_head; the keeper keeps the stragglers' task like its others; the check is on the versions.

--- a/src/clementineline/coordination/stepowner.py
+++ b/src/clementineline/coordination/stepowner.py
@@ -65,7 +65,6 @@
         '_prober',
         '_shelf',
         '_stopped',
-        '_stragglers',
         '_tasks',
         '_wakeup',
         'known',
@@ -73,6 +72,7 @@
         'on_submission',
         'open',
         'retain_s',
+        'stragglers',
         'writer',
     )
 
@@ -104,7 +104,7 @@
         self.on_run_end = lambda end, took_s: None
         self.writer = recording.ResultWriter(steps_ledger, may_lead, log)
         self._prober = probing.LoadProber(pool, dialect, get_routes, log)
-        self._stragglers = stragglers.StragglerMover(
+        self.stragglers = stragglers.StragglerMover(
             directory,
             self._prober,
             lambda: list(self.open.values()),
@@ -302,14 +302,13 @@
 
     async def run(self):
         """Start what can run until cancelled."""
-        self._spawn(self._stragglers.run())
         while True:
             self._wakeup.clear()
             # Items run on while the lease cannot be renewed: they may run
             # more than once, and positions are the ledger's.
             if self._may_lead():
                 self._give_up_old()
-            self._stragglers.leave_slow_engines()
+            self.stragglers.leave_slow_engines()
             self._start_waiting()
             try:
                 async with asyncio.timeout(TICK_S):
@@ -334,7 +333,7 @@
         have the version of what is held.
         """
         engines = self._list_engines(submission, run.item.id)
-        if not run.texts or not self._is_single_version(submission):
+        if not run.versions or not self._is_single_version(submission):
             return engines
         return placement.keep_version(
             engines, submission.model, run.versions[-1]
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -184,6 +184,7 @@
             self._tasks.keep(submissions.run, 'submissions'),
             self._tasks.keep(named.run, 'versions'),
             self._tasks.keep(owner.run, 'steps'),
+            self._tasks.keep(owner.stragglers.run, 'stragglers'),
             self._tasks.keep(orders.run, 'orders'),
             self._tasks.start(self._mirror.run(owner.list_runs), 'mirror'),
             self._tasks.keep(self._departures.run, 'departures'),
--- a/src/clementineline/transport/events.py
+++ b/src/clementineline/transport/events.py
@@ -8,7 +8,7 @@
 __all__ = ['Event', 'EventReader', 'EventSplitter']
 
 
-_EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,8 +24,8 @@
     fields: dict
 
 
-class EventReader:
-    """Splits a stream into events; an event without its end is left out."""
+class EventSplitter:
+    """Splits a stream into the bytes of its events, none of them changed."""
 
     __slots__ = ('_partial',)
 
@@ -38,45 +38,44 @@
         return bool(self._partial.strip())
 
     def feed(self, data):
-        """Return the events that became whole.
+        """Return ``(number, bytes)`` of each event that became whole.
 
-        :raises errors.ProtocolError: if an event has no proper id
+        The number is None where an event has none.
         """
-        buffered = (self._partial + data).replace(b'\r\n', b'\n')
-        *blocks, self._partial = buffered.split(b'\n\n')
+        buffered = self._partial + data
         found = []
-        for block in blocks:
-            if block.strip():
-                found.append(_parse_block(block))
+        start = 0
+        for match in _EVENT_END.finditer(buffered):
+            raw = buffered[start : match.end()]
+            found.append((_find_number(raw), raw))
+            start = match.end()
+        self._partial = buffered[start:]
         return found
 
 
-class EventSplitter:
-    """Splits a stream into the bytes of its events, none of them changed."""
+class EventReader:
+    """Reads a stream's events; an event without its end is left out."""
 
-    __slots__ = ('_partial',)
+    __slots__ = ('_splitter',)
 
     def __init__(self):
-        self._partial = b''
+        self._splitter = EventSplitter()
 
     @property
     def has_partial(self):
         """Whether the stream stands within an event."""
-        return bool(self._partial.strip())
+        return self._splitter.has_partial
 
     def feed(self, data):
-        """Return ``(number, bytes)`` of each event that became whole.
+        """Return the events that became whole.
 
-        The number is None where an event has none.
+        :raises errors.ProtocolError: if an event has no proper id
         """
-        buffered = self._partial + data
         found = []
-        start = 0
-        for match in _EVENT_END.finditer(buffered):
-            raw = buffered[start : match.end()]
-            found.append((_find_number(raw), raw))
-            start = match.end()
-        self._partial = buffered[start:]
+        for _, raw in self._splitter.feed(data):
+            block = raw.replace(b'\r\n', b'\n').strip(b'\n')
+            if block.strip():
+                found.append(_parse_block(block))
         return found
 
 
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -174,20 +174,9 @@
         if self.answered or self._channel.lost:
             return
         self.answered = True
-        fields = []
-        for key, value in headers:
-            if key.lower() != b'content-length':
-                fields.append((key, value))
-        fields.append((b'Content-Length', b'%d' % len(body)))
-        if self._server.draining:
-            fields.append((b'Connection', b'close'))
         protocol = self._protocol
-        data = protocol.send(
-            h11.Response(
-                status_code=status,
-                headers=fields,
-                reason=_REASONS.get(status, b'Status'),
-            )
+        data = self._build_head(
+            status, headers, [(b'Content-Length', b'%d' % len(body))]
         )
         if body and self.head.method != b'HEAD':
             data += protocol.send(h11.Data(data=body))
@@ -203,19 +192,22 @@
         if self.answered or self._channel.lost:
             return
         self.answered = True
+        self._channel.send(self._build_head(status, headers))
+
+    def _build_head(self, status, headers, framing=()):
+        """Return the bytes of the start of the answer."""
         fields = []
         for key, value in headers:
             if key.lower() != b'content-length':
                 fields.append((key, value))
+        fields.extend(framing)
         if self._server.draining:
             fields.append((b'Connection', b'close'))
-        self._channel.send(
-            self._protocol.send(
-                h11.Response(
-                    status_code=status,
-                    headers=fields,
-                    reason=_REASONS.get(status, b'Status'),
-                )
+        return self._protocol.send(
+            h11.Response(
+                status_code=status,
+                headers=fields,
+                reason=_REASONS.get(status, b'Status'),
             )
         )
 
