--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -39,6 +39,7 @@
     'submissions_total': 'Calls about submissions, by verb and status.',
     'item_runs_total': 'Runs of items, by end.',
     'item_run_seconds': 'From the start of an item run to its end.',
+    'reward_calls_total': 'Reward calls of items, by verdict.',
     'results_recorded_total': 'Results that got their positions.',
     'orders_total': 'Orders sent to engines, by outcome.',
     'text_log_bytes': 'Bytes of texts written to disk.',
@@ -94,6 +95,11 @@
         self._apply('Gauge', name, 'set', labels, value)
 
     def _apply(self, kind, name, method, labels, value):
+        if name not in DESCRIPTIONS:
+            # Also while updates are queued, so that tests notice.
+            raise KeyError(
+                f'metric {name!r} has no entry in metrics.DESCRIPTIONS'
+            )
         if self._library is None:
             if len(self._pending) < PENDING_UPDATES_MAX:
                 self._pending.append((kind, name, method, labels, value))
--- a/src/clementineline/daemons/tests/test_metrics.py
+++ b/src/clementineline/daemons/tests/test_metrics.py
@@ -1,6 +1,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from clementineline.daemons import metrics
 from clementineline.transport import frames
 from clementineline.transport import http
@@ -21,6 +23,11 @@
         )
         assert 'clementineline_request_seconds_bucket{le="0.05"' in text
 
+    def test_unknown_name_is_rejected_before_the_import(self):
+        process_metrics = metrics.Metrics({})
+        with pytest.raises(KeyError, match='no_such_total'):
+            process_metrics.count('no_such_total')
+
     def test_gauges_are_set_at_each_rendering(self):
         process_metrics = metrics.Metrics(
             {}, lambda process_metrics: process_metrics.set('endpoints', 7)
