Make the reward calls of items and list their scores

Change: when a text is complete, its owner makes the call through the route of its host and path (coordination/scoring.py, by the forwarder of live calls: hedged, refused calls repeated, 500s counted). A whole text that waits for its score is replicated and not generated again by a new leader. Endpoints are listed anew for each attempt of a call.

--- a/src/clementineline/commands/explanation.py
+++ b/src/clementineline/commands/explanation.py
@@ -74,8 +74,9 @@
     """Select the lines about an id, and the context of these lines.
 
     The context is the lines about submissions that the selected lines name
-    (acceptance, opening, recorded results and end, but not other items), and
-    the ``CONTEXT_EVENTS`` of the same processes in the same period.
+    (acceptance, opening, recorded results and end, but not other items), the
+    attempts of an item's reward call, and the ``CONTEXT_EVENTS`` of the same
+    processes in the same period.
 
     :param lines: dicts, sorted by time
     :param subject: id of a request, item, submission, endpoint or model
@@ -88,6 +89,10 @@
     for line in direct:
         if line.get('submission'):
             submissions.add(line['submission'])
+    calls = set()
+    for line in direct:
+        if line.get('item') and line.get('request'):
+            calls.add(line['request'])
     processes = {line.get('process') for line in direct}
     first = direct[0].get('timestamp', '')
     last = direct[-1].get('timestamp', '')
@@ -99,7 +104,7 @@
         if line.get('submission') in submissions and 'request' not in line:
             selected.append(line)
             continue
-        if line.get('request') in submissions:
+        if line.get('request') in submissions or line.get('request') in calls:
             selected.append(line)
             continue
         if line['event'] not in CONTEXT_EVENTS:
--- a/src/clementineline/commands/tests/test_explanation.py
+++ b/src/clementineline/commands/tests/test_explanation.py
@@ -78,6 +78,28 @@
         reason='TimeoutError()',
     ),
 ]
+UNSCORED_ITEM = [
+    build_line(1, 'store-1', 'item run', request='i1', submission='s1'),
+    build_line(
+        2,
+        'store-1',
+        'attempt',
+        request='c1',
+        endpoint='e-9',
+        verdict='may-have-run',
+        reason='connection lost',
+    ),
+    build_line(
+        2,
+        'store-1',
+        'reward call',
+        request='c1',
+        item='i1',
+        submission='s1',
+        scored=False,
+    ),
+    build_line(2, 'store-1', 'attempt', request='c2', endpoint='e-8'),
+]
 
 
 @pytest.fixture
@@ -124,6 +146,14 @@
         assert 'results recorded' in printed
         assert 'request=i2' not in printed
 
+    def test_unscored_item_shows_the_attempts_of_its_reward_call(
+        self, explain
+    ):
+        _, printed = explain(UNSCORED_ITEM, 'i1')
+        assert 'endpoint=e-9' in printed
+        assert 'scored=False' in printed
+        assert 'request=c2' not in printed
+
     def test_unloaded_version_names_the_failed_order(self, explain):
         _, printed = explain(UNLOADED_VERSION, 'm0')
         assert 'order not answered' in printed
--- a/src/clementineline/coordination/carryover.py
+++ b/src/clementineline/coordination/carryover.py
@@ -44,8 +44,9 @@
         cached = texts.CachedText(
             submission_id,
             run.run_id,
-            list(run.texts),
+            run.list_events(),
             list(run.versions),
+            run.whole,
         )
         text_cache.put(item_id, cached)
     for result in [
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -77,15 +77,20 @@
 
 @dataclasses.dataclass(slots=True)
 class _Attempts:
-    """A call, the endpoints it may be sent to and those it was sent to."""
+    """A call, its service and the endpoints that it was sent to.
+
+    :param retry_failures: whether a response of 500 or more leads to an
+        attempt at another endpoint, if the route allows it
+    """
 
     route: object
     head: object
     body: bytes
     request_id: str
     deadline: float
-    tried: list
-    candidates: list
+    service: str
+    retry_failures: bool
+    tried: list = dataclasses.field(default_factory=list)
 
 
 class CallForwarder:
@@ -107,11 +112,15 @@
         self._zone = zone
         self._log = log
 
-    async def forward(self, route, head, body, facts, deadline):
+    async def forward(
+        self, route, head, body, request_id, deadline, retry_failures=True
+    ):
         """Send a call to endpoints until a verdict is final.
 
-        :param facts: the call's :class:`~dialect.CallFacts`
+        :param request_id: id that the endpoints' responses must carry
         :param deadline: loop time at which the caller gives up, in seconds
+        :param retry_failures: whether a response of 500 or more leads to an
+            attempt at another endpoint, if the route allows it
         :returns: a verdict
         """
         service = choose_service(route.targets, random.random())
@@ -119,10 +128,10 @@
             route,
             head,
             body,
-            facts.request_id,
+            request_id,
             deadline,
-            [],
-            self._directory.list_usable(service),
+            service,
+            retry_failures,
         )
         pending = set()
         try:
@@ -169,6 +178,8 @@
         if isinstance(verdict, verdicts.Answered):
             if verdict.status < 500 or not attempts.route.idempotent:
                 return True
+            if not attempts.retry_failures:
+                return True
             return len(attempts.tried) >= attempts.route.attempts_max
         if isinstance(verdict, verdicts.MayHaveRun):
             return not attempts.route.idempotent
@@ -177,8 +188,12 @@
     def _start_attempt(self, attempts, now):
         if len(attempts.tried) >= attempts.route.attempts_max:
             return None
+        # Endpoints may have left since the last attempt.
         state = choose_endpoint(
-            attempts.candidates, attempts.tried, self._zone, now
+            self._directory.list_usable(attempts.service),
+            attempts.tried,
+            self._zone,
+            now,
         )
         if state is None:
             return None
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -62,6 +62,7 @@
     :param state: :class:`~directory.EndpointState` of the engine that runs
         it, or None
     :param task: its running task, or None
+    :param scoring_task: the task of its reward call, or None
     """
 
     item: submissions.Item
@@ -83,6 +84,7 @@
     moving: bool = False
     state: object = None
     task: asyncio.Task | None = None
+    scoring_task: asyncio.Task | None = None
 
     def forget_text(self):
         """Drop the events; the next run starts from the beginning."""
@@ -90,13 +92,29 @@
         self.versions.clear()
         self.whole = False
 
-    def build_result(self):
-        """Build the result of the completed item."""
+    def list_events(self):
+        """Return the text as list of events, a whole text as one string."""
+        if self.whole:
+            return ['\n'.join(self.texts)]
+        return list(self.texts)
+
+    def cancel(self):
+        """Cancel the tasks that run or score the item."""
+        for task in (self.task, self.scoring_task):
+            if task is not None:
+                task.cancel()
+
+    def build_result(self, score=''):
+        """Build the result of the completed item.
+
+        :param score: the signature that its reward call got
+        """
         return submissions.Result(
             self.item.id,
             submissions.COMPLETED,
             '\n'.join(self.texts),
             tuple(self.versions),
+            score,
         )
 
 
--- a/src/clementineline/coordination/opensubmissions.py
+++ b/src/clementineline/coordination/opensubmissions.py
@@ -98,8 +98,7 @@
             if run is not None:
                 if run in self.waiting:
                     self.waiting.remove(run)
-                if run.task is not None:
-                    run.task.cancel()
+                run.cancel()
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -54,6 +54,7 @@
     :param retain_s: age at which a submission is removed, in seconds
     :param cache: the :class:`~texts.TextCache`
     :param replicator: the :class:`~texts.TextReplicator`
+    :param scorer: the :class:`~scoring.RewardScorer`
     :ivar open_submissions: dict from submission id to its
         :class:`~opensubmissions.OpenSubmission`; ended ones stay until they
         are removed from the ledger
@@ -74,6 +75,7 @@
         '_pool',
         '_prober',
         '_replicator',
+        '_scorer',
         '_stopped',
         '_tasks',
         '_wakeup',
@@ -98,6 +100,7 @@
         retain_s,
         cache,
         replicator,
+        scorer,
     ):
         self._ledger = submission_ledger
         self._directory = directory
@@ -108,6 +111,7 @@
         self._log = log
         self._cache = cache
         self._replicator = replicator
+        self._scorer = scorer
         self.on_submission = lambda submission: None
         self.on_run_end = lambda end, took_s: None
         self.writer = recording.ResultWriter(submission_ledger, may_lead, log)
@@ -224,8 +228,7 @@
             )
             entry.runs[item.id] = run
             if run.whole:
-                entry.finished[item.id] = run.build_result()
-                entry.runs.pop(item.id)
+                self._complete(entry, run)
             else:
                 entry.waiting.append(run)
         carried = {
@@ -285,8 +288,7 @@
     def _end_submission(self, entry):
         entry.ended = True
         for run in entry.runs.values():
-            if run.task is not None:
-                run.task.cancel()
+            run.cancel()
         carryover.keep_texts(self._cache, entry)
         entry.waiting.clear()
         if entry.writer is not None:
@@ -485,7 +487,7 @@
                 run.forget_text()
                 entry.waiting.insert(0, run)
                 return
-            self._add_result(entry, run.build_result())
+            self._complete(entry, run)
             return
         if end is run_ends.IMPOSSIBLE:
             self._abandon(entry, run, 'rejected as impossible by the engine')
@@ -506,6 +508,23 @@
             run.not_before = now + BROKEN_RETRY_DELAY_S
         entry.waiting.insert(0, run)
 
+    def _complete(self, entry, run):
+        """Add the result of a whole text, after its reward call if any."""
+        if run.item.reward_call is None:
+            self._add_result(entry, run.build_result())
+            return
+        run.scoring_task = self._spawn(self._score(entry, run))
+
+    async def _score(self, entry, run):
+        try:
+            score = await self._scorer.score(entry.submission, run.item)
+        except errors.NoScore as error:
+            run.scoring_task = None
+            self._abandon(entry, run, str(error))
+            return
+        run.scoring_task = None
+        self._add_result(entry, run.build_result(score))
+
     def _add_result(self, entry, result):
         first = not entry.finished
         entry.finished[result.item_id] = result
@@ -520,8 +539,7 @@
             submission=entry.submission.id,
             reason=reason,
         )
-        if run.task is not None:
-            run.task.cancel()
+        run.cancel()
         if run in entry.waiting:
             entry.waiting.remove(run)
         self._add_result(
--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from clementineline.coordination import itemruns
 from clementineline.coordination import members
 from clementineline.coordination import texts
 from clementineline.protocol import asking
@@ -150,9 +151,11 @@
     ):
         known, _ = keepers
         replicator = texts.TextReplicator(known, log)
-        item = types.SimpleNamespace(id='i1')
-        run = types.SimpleNamespace(
-            item=item, run_id='r1', texts=['a'], versions=[1]
+        run = itemruns.ItemRun(
+            types.SimpleNamespace(id='i1'),
+            run_id='r1',
+            texts=['a'],
+            versions=[1],
         )
         first = replicator._collect([('s1', run)])
         run.texts.extend(['b', 'c'])
@@ -164,3 +167,22 @@
         run.texts.append('d')
         (again,) = replicator._collect([('s1', run)])
         assert (again.first, again.events) == (0, ['a', 'b', 'c', 'd'])
+
+    async def test_text_that_waits_for_its_score_is_sent_once_as_whole(
+        self, keepers, log
+    ):
+        known, caches = keepers
+        replicator = texts.TextReplicator(known, log)
+        run = itemruns.ItemRun(
+            types.SimpleNamespace(id='i1'),
+            run_id='r1',
+            texts=['a', 'b'],
+            versions=[1],
+        )
+        await replicator.send([('s1', run)])
+        run.whole = True
+        await replicator.send([('s1', run)])
+        for cache in caches.values():
+            cached = cache.take('i1')
+            assert (cached.whole, cached.events) == (True, ['a\nb'])
+        assert replicator._collect([('s1', run)]) == []
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -174,11 +174,14 @@
         parts = []
         sent = {}
         for submission_id, run in runs:
-            count = len(run.texts)
-            run_id, first = self._sent.get(run.item.id, ('', 0))
-            if run_id != run.run_id:
+            # A whole text is one event, so it has a place of its own.
+            run_id = f'{run.run_id}/whole' if run.whole else run.run_id
+            events = run.list_events()
+            count = len(events)
+            sent_run_id, first = self._sent.get(run.item.id, ('', 0))
+            if sent_run_id != run_id:
                 first = 0
-            sent[run.item.id] = (run.run_id, count)
+            sent[run.item.id] = (run_id, count)
             if count <= first:
                 continue
             parts.append(
@@ -187,8 +190,9 @@
                     run.item.id,
                     run.run_id,
                     first,
-                    run.texts[first:],
+                    events[first:],
                     list(run.versions),
+                    run.whole,
                 )
             )
         self._sent = sent
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -181,7 +181,11 @@
             )
         else:
             verdict = await self._call_forwarder.forward(
-                route, incoming.head, incoming.body, facts, deadline
+                route,
+                incoming.head,
+                incoming.body,
+                facts.request_id,
+                deadline,
             )
         loop = asyncio.get_running_loop()
         took_s = loop.time() - incoming.arrived_at
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -10,8 +10,10 @@
 import random
 
 from clementineline.coordination import departures
+from clementineline.coordination import forwarding
 from clementineline.coordination import lease
 from clementineline.coordination import ledger
+from clementineline.coordination import scoring
 from clementineline.coordination import submissionowner
 from clementineline.coordination import texts
 from clementineline.coordination import versions
@@ -59,6 +61,17 @@
         )
         self._text_cache = texts.TextCache()
         self._text_replicator = texts.TextReplicator(self._members, log)
+        forwarder = forwarding.CallForwarder(
+            self._directory, self._pool, dialect, settings.zone, log
+        )
+        self._scorer = scoring.RewardScorer(
+            forwarder,
+            self._directory,
+            dialect,
+            lambda: self._routes.table,
+            log,
+        )
+        self._scorer.on_verdict = self._count_reward_call
         self._departed_remover = departures.DepartedMemberRemover(
             self._members, self._may_lead, self._clock, log
         )
@@ -170,6 +183,7 @@
             self._settings.retain_s,
             self._text_cache,
             self._text_replicator,
+            self._scorer,
         )
         version_updater = versions.VersionUpdater(
             self._settings.name,
@@ -221,6 +235,9 @@
     def _count_recorded(self, count):
         self.metrics.count('results_recorded_total', count)
 
+    def _count_reward_call(self, outcome):
+        self.metrics.count('reward_calls_total', outcome=outcome)
+
     def _count_order(self, outcome):
         self.metrics.count('orders_total', outcome=outcome.value)
 
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -100,6 +100,10 @@
     """The process has no configuration or knows no leader; nothing was run."""
 
 
+class NoScore(ClementinelineError):
+    """Every allowed reward call of an item failed at its endpoint."""
+
+
 class RequestError(ClementinelineError):
     """A caller's request is malformed.
 
--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -16,6 +16,15 @@
 READ_WAIT_MAX_S = 1.0
 
 
+class _Scorer(msgspec.Struct):
+    """The reward call of an item; despite its name, not a service."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes = b''
+
+
 class _Item(msgspec.Struct):
     id: str
     path: str
@@ -24,6 +33,7 @@
     # Prompt tokens plus the limit on output tokens.
     tokens: int = 0
     group: str = ''
+    scorer: _Scorer | None = None
 
 
 class _Submission(msgspec.Struct, rename='camel'):
@@ -35,11 +45,13 @@
     desired: int = 0
 
 
-class _Result(msgspec.Struct):
+class _Result(msgspec.Struct, omit_defaults=True):
     id: str
     state: str
     text: str
     versions: tuple[int, ...]
+    # The signature in the response to the reward call, not a number.
+    score: str = ''
 
 
 class _Page(msgspec.Struct):
@@ -60,6 +72,17 @@
     return 0.0
 
 
+def _decode_reward_call(scorer):
+    if scorer is None:
+        return None
+    return submissions.RewardCall(
+        id=scorer.id,
+        host=scorer.host.partition(':')[0].lower(),
+        path=scorer.path,
+        body=scorer.body,
+    )
+
+
 def decode_submission(facts, route, service, body, now):
     """Decode a batch submission.
 
@@ -91,6 +114,7 @@
                 prompt_tokens=int(
                     _read_first_number(item.headers, 'token-usage')
                 ),
+                reward_call=_decode_reward_call(item.scorer),
             )
         )
     return submissions.Submission(
@@ -110,7 +134,13 @@
 def encode_page(page):
     """Encode a :class:`~submissions.ResultPage` as JSON bytes."""
     results = [
-        _Result(result.item_id, result.state, result.text, result.versions)
+        _Result(
+            result.item_id,
+            result.state,
+            result.text,
+            result.versions,
+            result.score,
+        )
         for result in page.results
     ]
     return msgspec.json.encode(_Page(page.total, page.next, results))
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -7,6 +7,7 @@
     'build_call',
     'build_item_call',
     'build_retry_headers',
+    'build_reward_call',
     'read_call',
     'read_reply',
 ]
@@ -113,6 +114,19 @@
     return http.Head(b'POST', item.path.encode('latin-1'), tuple(headers))
 
 
+def build_reward_call(reward_call):
+    """Build the request of an item's reward call.
+
+    :param reward_call: the :class:`~submissions.RewardCall`
+    :returns: a :class:`~http.Head`, without the headers that name an endpoint
+    """
+    headers = (
+        (b'Host', reward_call.host.encode('latin-1')),
+        (b'Request-Id', reward_call.id.encode('latin-1')),
+    )
+    return http.Head(b'POST', reward_call.path.encode('latin-1'), headers)
+
+
 def read_reply(headers):
     """Read the headers of an endpoint's response.
 
@@ -120,6 +134,7 @@
     :returns: a :class:`~dialect.ReplyFacts`
     """
     request_id = http.find_header(headers, b'request-id') or b''
+    stamp = http.find_header(headers, b'server-stamp')
     running = waiting = None
     slowness = 1.0
     # The header holds the running requests, the waiting requests, a number
@@ -133,7 +148,7 @@
     return dialect.ReplyFacts(
         request_id.decode('latin-1'),
         http.find_header(headers, b'not-executed') is not None,
-        http.find_header(headers, b'server-stamp') is not None,
+        stamp.decode('latin-1') if stamp is not None else None,
         running,
         waiting,
         slowness,
--- a/src/clementineline/platform/dialect.py
+++ b/src/clementineline/platform/dialect.py
@@ -33,6 +33,7 @@
     encode_page = staticmethod(batches.encode_page)
     build_call = staticmethod(calls.build_call)
     build_item_call = staticmethod(calls.build_item_call)
+    build_reward_call = staticmethod(calls.build_reward_call)
     build_health_call = staticmethod(endpoints.build_health_call)
     build_report_call = staticmethod(endpoints.build_report_call)
     decode_report = staticmethod(endpoints.decode_report)
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -19,6 +19,16 @@
 FAST_LEASE = settings.LeaseSettings(duration_s=0.6, renew_s=0.1, quiet_s=0.1)
 
 
+def build_scorer(submission_id, number):
+    """Return the wire form of an item's reward call."""
+    return {
+        'id': f'{submission_id}-r{number}',
+        'host': 'shop.example',
+        'path': f'/live/score/{number}?of={submission_id}',
+        'body': base64.b64encode(b'reply %d' % number).decode(),
+    }
+
+
 class Deployment:
     """Gateways and keepers with a stand-in store and stand-in endpoints.
 
@@ -112,8 +122,13 @@
             client.close()
         return reply.status_code, tuple(reply.headers), answer
 
-    async def submit(self, gateway, submission_id, items=4, **fields):
-        """Submit a batch of items in groups of two; return the status."""
+    async def submit(
+        self, gateway, submission_id, items=4, scored=False, **fields
+    ):
+        """Submit a batch of items in groups of two; return the status.
+
+        :param scored: whether each item has a reward call
+        """
         body = {
             'step': 0,
             'model': 'm0',
@@ -132,6 +147,9 @@
             ],
             **fields,
         }
+        for number, item in enumerate(body['items']):
+            if scored:
+                item['scorer'] = build_scorer(submission_id, number)
         status, _, _ = await self.call(
             gateway,
             'POST',
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -242,6 +242,9 @@
     - ``gap_s``: time before each event, in seconds
     - ``delay_s``: time before each response, in seconds
     - ``fail_next``: number of next requests that get ``fail_status``
+    - ``failing_ids``: ids of the requests that always get ``fail_status``
+    - ``lose_answers``: number of next requests of a plain service that run
+      and get no response
     - ``shed``: whether all requests are refused as not run
     - ``break_after``: number of the event after which a stream is aborted,
       once
@@ -262,6 +265,11 @@
         self.gap_s = 0.002
         self.fail_next = 0
         self.fail_status = 500
+        self.failing_ids = set()
+        self.lose_answers = 0
+        self.running = 0
+        self.running_max = 0
+        self.targets = {}
         self.shed = False
         self.break_after = None
         self.delay_s = 0.0
@@ -315,11 +323,24 @@
             incoming.respond(503, (*echo, (b'Not-Executed', b'1')), b'')
             return
         self.runs.append((request_id, headers, incoming.body))
+        self.targets[request_id] = head.target.decode()
+        self.running += 1
+        self.running_max = max(self.running_max, self.running)
+        try:
+            await self._run(incoming, request_id, headers, echo)
+        finally:
+            self.running -= 1
+
+    async def _run(self, incoming, request_id, headers, echo):
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            await asyncio.sleep(60)
+            return
         response_headers = (*echo, (b'Server-Stamp', b'stamp'))
-        if self.fail_next:
-            self.fail_next -= 1
+        if self.fail_next or request_id in self.failing_ids:
+            self.fail_next = max(0, self.fail_next - 1)
             incoming.respond(self.fail_status, response_headers, b'failed')
             return
         model = headers.get('model')
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -110,10 +110,9 @@
                     (b'Request-Id', request_id.encode()),
                 ),
             )
-            facts = dialect.WireDialect.read_call(head)
             loop = asyncio.get_running_loop()
             return await self.forwarder.forward(
-                route, head, b'q', facts, loop.time() + limit_s
+                route, head, b'q', request_id, loop.time() + limit_s
             )
 
         @property
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -75,7 +75,7 @@
     :param request_id: id of the answered request, empty if not given
     :param not_run: whether the endpoint states that it did not run the
         request
-    :param signed: whether the response carries the endpoint's signature
+    :param signature: the endpoint's signature, None if there is none
     :param running: number of requests that run at the endpoint, None if not
         reported
     :param waiting: number of requests that wait at the endpoint, None if not
@@ -87,12 +87,17 @@
 
     request_id: str
     not_run: bool
-    signed: bool
+    signature: str | None
     running: int | None
     waiting: int | None
     slowness: float
     version: int | None
 
+    @property
+    def signed(self):
+        """Whether the response carries the endpoint's signature."""
+        return self.signature is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchCall:
@@ -187,6 +192,8 @@
         self, submission, item, endpoint, resume_after
     ) -> http.Head: ...
 
+    def build_reward_call(self, reward_call) -> http.Head: ...
+
     def build_health_call(self, service, endpoint) -> http.Head: ...
 
     def build_report_call(self, endpoint) -> http.Head: ...
--- a/src/clementineline/state/submissions.py
+++ b/src/clementineline/state/submissions.py
@@ -11,6 +11,7 @@
     'Result',
     'ResultChunk',
     'ResultPage',
+    'RewardCall',
     'Submission',
 ]
 
@@ -18,6 +19,23 @@
 ABANDONED = 'abandoned'
 
 
+class RewardCall(msgspec.Struct, frozen=True):
+    """A call that scores an item after its text is complete.
+
+    It may be repeated, and goes through the route of its host and path.
+
+    :param id: id of the call, which is sent to the endpoint
+    :param host: host name, without port
+    :param path: path and query of the request to the endpoint
+    :param body: body of the request to the endpoint
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class Item(msgspec.Struct, frozen=True):
     """One item of a submission: a request for one generation.
 
@@ -29,6 +47,8 @@
         a trainer uses a group only if it is complete
     :param length_hint: estimated number of output tokens, 0 if unknown
     :param prompt_tokens: number of prompt tokens, 0 if unknown
+    :param reward_call: the :class:`RewardCall` whose score its result needs,
+        or None
     """
 
     id: str
@@ -39,6 +59,7 @@
     group: str
     length_hint: float = 0.0
     prompt_tokens: int = 0
+    reward_call: RewardCall | None = None
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -73,12 +94,15 @@
     :param text: data of all events, joined by line feeds
     :param versions: weights versions that generated the text, in order of
         first use
+    :param score: signature of the endpoint that answered the item's reward
+        call; empty if the item has none
     """
 
     item_id: str
     state: typing.Literal['completed', 'abandoned']
     text: str = ''
     versions: tuple[int, ...] = ()
+    score: str = ''
 
 
 class ResultChunk(msgspec.Struct, frozen=True):
