--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -4,14 +4,11 @@
 
 from clementineline.transport import frames
 
-__all__ = ['CHANGE_PAUSE_S', 'Directory', 'EndpointState']
+__all__ = ['LOAD_TTL_S', 'Directory', 'EndpointState']
 
 # An endpoint's entry that lapsed during a store outage reappears within two
 # seconds of the end of the outage if the endpoint is alive.
 LAPSED_ENTRY_GRACE_S = 1.6
-# Entries change in bursts while versions load. A pause after each change lets
-# one answer carry several of them.
-CHANGE_PAUSE_S = 0.8
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 4.0
 LOAD_TTL_S = 1.0
--- a/src/clementineline/coordination/objectwatcher.py
+++ b/src/clementineline/coordination/objectwatcher.py
@@ -8,25 +8,68 @@
 """
 
 import asyncio
+import dataclasses
 
 from clementineline import errors
 from clementineline.protocol import links
 
-__all__ = ['ObjectWatcher']
+__all__ = ['ObjectWatcher', 'WatchIntervals', 'derive_intervals']
 
 # If the store drops its history, an open watch may miss changes and keep
 # waiting, and stale lists are 6 s behind, so only the next watch reports the
-# lost history. A route table must be in force within 2 s after its write was
-# acknowledged, or within 3 s after a disturbance of the store, so watches are
-# short.
+# lost history. A watch is therefore shorter than the time for which a VM
+# counts as disturbed.
+WAIT_DISTURBED_SHARE = 0.83
+WAIT_APPLY_SHARE = 1.25
+# The response to a watch may be lost. A comparison must notice it and the
+# change be in force while the VM counts as disturbed.
+CHECK_DISTURBED_SHARE = 0.4
+CHECK_APPLY_SHARE = 0.6
+# A change that happens during the pause after another one is reported late by
+# the pause, so it takes less than half of the time within which a change must
+# be in force.
+PAUSE_APPLY_SHARE = 0.4
+# For a change that must be in force within 2 s, or 3 s after a disturbance.
 WATCH_WAIT_S = 2.5
-# A VM counts as disturbed for 3 s after a lost response. A missed change must
-# be in force within this time.
 CHECK_INTERVAL_S = 1.2
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchIntervals:
+    """Times of an :class:`ObjectWatcher`, in seconds.
+
+    :param pause_s: delay after a change before the next watch
+    :param wait_s: longest time that a watch waits
+    :param check_interval_s: time between comparisons
+    """
+
+    pause_s: float
+    wait_s: float
+    check_interval_s: float
+
+
+def derive_intervals(apply_s, disturbed_s):
+    """Derive the times of a watch from the time that a change is allowed.
+
+    Each process of the fleet watches, so the calls to the store grow with its
+    size. They are as rare as the platform's bound permits, which is longer for
+    a larger fleet.
+
+    :param apply_s: time after a write within which a change must be in force,
+        in seconds
+    :param disturbed_s: time after a disturbance of the store or the VM for
+        which a change may take longer, in seconds
+    :returns: the :class:`WatchIntervals`
+    """
+    return WatchIntervals(
+        PAUSE_APPLY_SHARE * apply_s,
+        min(WAIT_APPLY_SHARE * apply_s, WAIT_DISTURBED_SHARE * disturbed_s),
+        min(CHECK_APPLY_SHARE * apply_s, CHECK_DISTURBED_SHARE * disturbed_s),
+    )
+
+
 class ObjectWatcher:
     """Reports all changes of the objects of a kind.
 
--- a/src/clementineline/coordination/tests/test_objectwatcher.py
+++ b/src/clementineline/coordination/tests/test_objectwatcher.py
@@ -116,6 +116,25 @@
         # of the store excuses a delay only until 3 s after its end.
         assert objectwatcher.WATCH_WAIT_S < 3.0
 
+    @pytest.mark.parametrize(
+        ('apply_s', 'disturbed_s'),
+        [(2.0, 3.0), (3.0, 4.0), (4.0, 5.0), (4.0, 3.0), (2.0, 6.0)],
+    )
+    def test_times_of_a_watch_fit_into_the_bounds(self, apply_s, disturbed_s):
+        """They answer the load of a large fleet, which has longer bounds."""
+        intervals = objectwatcher.derive_intervals(apply_s, disturbed_s)
+        assert intervals.wait_s < disturbed_s
+        # A comparison that just missed the change is followed by the one that
+        # finds it, which leaves time for a list.
+        assert 2 * intervals.check_interval_s < disturbed_s
+        assert 2 * intervals.pause_s < apply_s
+
+    def test_larger_bounds_make_fewer_calls(self):
+        small = objectwatcher.derive_intervals(2.0, 3.0)
+        large = objectwatcher.derive_intervals(4.0, 5.0)
+        assert large.wait_s > 1.5 * small.wait_s
+        assert large.pause_s == 2 * small.pause_s
+
     async def test_change_in_a_lost_response_is_found_by_a_list(
         self, start_watcher, wait_until
     ):
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -1,6 +1,7 @@
 """The common base of gateways and keepers."""
 
 import asyncio
+import dataclasses
 
 from clementineline import clocks
 from clementineline.coordination import connections
@@ -46,11 +47,24 @@
         self._endpoint_watcher = self._build_watcher(
             dialect.kinds.endpoints,
             self._apply_endpoints,
-            pause_s=directory.CHANGE_PAUSE_S,
+            # Entries change in bursts while versions load. The pause lets one
+            # answer carry several of them.
+            **dataclasses.asdict(
+                objectwatcher.derive_intervals(
+                    settings.watch.endpoint_leave_s,
+                    settings.watch.disturbed_s,
+                )
+            ),
         )
         self._routes = routetable.ActiveRouteTable(dialect, log)
+        route_intervals = objectwatcher.derive_intervals(
+            settings.watch.routes_apply_s, settings.watch.disturbed_s
+        )
         self._route_watcher = self._build_watcher(
-            dialect.kinds.routes, self._apply_routes
+            dialect.kinds.routes,
+            self._apply_routes,
+            wait_s=route_intervals.wait_s,
+            check_interval_s=route_intervals.check_interval_s,
         )
         self._pool = connections.ConnectionPool()
         self._ledger = ledger.Ledger(store, settings.value_bytes)
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -35,6 +35,14 @@
     # of the previous leader cannot interfere. It is not the duration of the
     # lease in the store.
     lease_ms: float = 3000.0
+    # Time after the acknowledged write of a manifest within which it must be
+    # in force.
+    config_apply_ms: float = 2000.0
+    # Time after the acknowledged entry of a leaving endpoint from which it
+    # must get no requests; not the time in which a process drains.
+    drain_ms: float = 2000.0
+    # Time without disturbance after which a VM counts as undisturbed.
+    stable_window_ms: float = 3000.0
 
 
 class _StoreSettings(msgspec.Struct, rename='camel'):
@@ -67,6 +75,14 @@
     return f'{boot.ip}:{boot.port_range[0]}'
 
 
+def _build_watch_settings(boot):
+    return settings.WatchSettings(
+        routes_apply_s=boot.bounds.config_apply_ms / 1000,
+        endpoint_leave_s=boot.bounds.drain_ms / 1000,
+        disturbed_s=boot.bounds.stable_window_ms / 1000,
+    )
+
+
 def load_gateway_settings(path):
     """Load the settings of a gateway.
 
@@ -85,6 +101,7 @@
         grace_s=boot.bounds.grace_s,
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
+        watch=_build_watch_settings(boot),
     )
 
 
@@ -111,4 +128,5 @@
         data_dir=boot.data_dir or '',
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
+        watch=_build_watch_settings(boot),
     )
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -219,6 +219,21 @@
     links: LinkSettings = LinkSettings()
 
 
+class WatchSettings(_Settings):
+    """Times within which a change in the store must be in force.
+
+    :param routes_apply_s: time after the write of a route table
+    :param endpoint_leave_s: time after the write that an endpoint leaves, from
+        which it must get no new work
+    :param disturbed_s: time after a disturbance of the store or the VM for
+        which changes may take longer
+    """
+
+    routes_apply_s: PositiveFloat = 2.0
+    endpoint_leave_s: PositiveFloat = 2.0
+    disturbed_s: PositiveFloat = 3.0
+
+
 class GatewaySettings(_Settings):
     """Settings of a gateway.
 
@@ -232,6 +247,7 @@
     :param metrics: ``HOST:PORT`` for metrics, empty for none
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
+    :param watch: times within which a change in the store must be in force
     """
 
     name: Name
@@ -243,6 +259,7 @@
     grace_s: PositiveFloat = 8.0
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
+    watch: WatchSettings = WatchSettings()
 
 
 class KeeperSettings(_Settings):
@@ -258,6 +275,7 @@
     :param metrics: ``HOST:PORT`` for metrics, empty for none
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
+    :param watch: times within which a change in the store must be in force
     """
 
     name: Name
@@ -269,6 +287,7 @@
     data_dir: str = ''
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
+    watch: WatchSettings = WatchSettings()
 
 
 def _check_addresses(value, where):
