Let no endpoint hold an item with bytes that complete no event

Cause: the time limit of an item and of a resumable stream started again with each piece of data, and an event had no limit in size; its parts were searched from the start each time. Bytes without end held the item for ever. Change: the limit counts from the last complete event; an event over 256 KB is an error; only new bytes are searched; blank lines are not relayed.

--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -13,6 +13,7 @@
 # The first event of an admitted item takes about 50 ms, each later event about
 # 40 ms. Slowed engines take up to eight times as long.
 RESPONSE_HEAD_TIMEOUT_S = 2.0
+# Bytes that complete no event do not count.
 DATA_TIMEOUT_S = 1.2
 
 
@@ -191,8 +192,9 @@
         state.versions[submission.model] = version
         if version < submission.version_min:
             return RunEnd.STALE, f'version {version}'
+    deadline = loop.time() + DATA_TIMEOUT_S
     while True:
-        async with asyncio.timeout(DATA_TIMEOUT_S):
+        async with asyncio.timeout_at(deadline):
             data = await client.receive_data()
         if data is None:
             break
@@ -214,6 +216,7 @@
             if previous_at is not None:
                 state.update_pace((now - previous_at) / len(found), now)
             previous_at = now
+            deadline = now + DATA_TIMEOUT_S
             run.last_event_at = now
     if reader.has_partial:
         return RunEnd.BROKEN, 'stream ended within an event'
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -195,22 +195,29 @@
     async def _relay(self, stream, incoming, client, gap_s):
         """Relay complete events; hold back an event until it is complete.
 
-        :param gap_s: longest gap between pieces of data in seconds, or None
+        :param gap_s: longest gap between events in seconds, or None; bytes
+            that complete no event do not count
         :returns: a verdict
         """
+        loop = asyncio.get_running_loop()
         splitter = events.EventSplitter()
+        event_at = loop.time()
         while True:
-            async with asyncio.timeout(gap_s):
+            deadline = None if gap_s is None else event_at + gap_s
+            async with asyncio.timeout_at(deadline):
                 data = await client.receive_data()
             if data is None:
                 break
             for number, raw in splitter.feed(data):
+                if not raw.strip():
+                    continue
                 if number is not None:
                     if number <= stream.last_event:
                         return verdicts.MayHaveRun(
                             f'event {number} after {stream.last_event}'
                         )
                     stream.last_event = number
+                    event_at = loop.time()
                 incoming.send(raw)
             await incoming.drain()
         if splitter.has_partial:
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -251,6 +251,8 @@
     - ``trailing_bytes``: bytes sent after the response of a plain service
     - ``lose_orders``: number of next load orders that get no response and
       take no effect
+    - ``endless``: bytes that are sent again and again instead of a response
+      of a plain service or an engine, until the caller closes
     - ``slowness``: reported factor by which work takes longer than usual
     """
 
@@ -267,6 +269,8 @@
         self.fail_status = 500
         self.failing_ids = set()
         self.lose_answers = 0
+        self.endless = b''
+        self.endless_closed = 0
         self.running = 0
         self.running_max = 0
         self.targets = {}
@@ -334,6 +338,9 @@
     async def _run(self, incoming, request_id, headers, echo):
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        if self.endless:
+            await self._send_without_end(incoming, request_id)
+            return
         if self.lose_answers:
             self.lose_answers -= 1
             await asyncio.sleep(60)
@@ -353,6 +360,21 @@
             return
         await self._stream(incoming, headers, response_headers, model)
 
+    async def _send_without_end(self, incoming, request_id):
+        channel = incoming._channel
+        # The bytes before the bar are sent once.
+        prefix, _, repeated = self.endless.partition(b'|')
+        prefix = prefix.replace(b'%s', request_id.encode())
+        channel.send(prefix)
+        try:
+            # The server cancels this task when the caller closes.
+            while True:
+                channel.send(repeated * (16384 // len(repeated)))
+                await channel.drain()
+                await asyncio.sleep(0.001)
+        finally:
+            self.endless_closed += 1
+
     async def _stream(self, incoming, headers, response_headers, model):
         first = int(headers.get('last-event-id', 0))
         channel = incoming._channel
--- a/src/clementineline/platform/tests/test_streams.py
+++ b/src/clementineline/platform/tests/test_streams.py
@@ -5,6 +5,8 @@
 stream that ends early must not look complete to the caller.
 """
 
+import asyncio
+
 import pytest
 
 from clementineline import errors
@@ -138,6 +140,33 @@
         assert len(streams.list_runs()) == 1
 
 
+class TestEndlessBytes:
+    """An engine in trouble sends bytes without end instead of events."""
+
+    @pytest.mark.parametrize(
+        'repeated',
+        [b'400\r\n' + b'x' * 1024 + b'\r\n', b'2\r\n\n\n\r\n', b'0'],
+        ids=['event', 'blank lines', 'chunk size'],
+    )
+    async def test_resumable_stream_moves_to_another_engine(
+        self, streams, repeated
+    ):
+        await streams.add_route(resumable=True)
+        bad, good = streams.engines
+        bad.endless = (
+            b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n|' + repeated
+        )
+        good.slowness = 4.0
+        async with asyncio.timeout(4):
+            client = await streams.open()
+            assert await streams.read(client) == [1, 2, 3]
+        for engine in streams.engines:
+            assert engine.endless_closed == len(engine.runs) * bool(
+                engine.endless
+            )
+
+
 class TestSplitter:
     def test_event_bytes_are_unchanged(self):
         splitter = events.EventSplitter()
--- a/src/clementineline/transport/events.py
+++ b/src/clementineline/transport/events.py
@@ -8,6 +8,11 @@
 __all__ = ['Event', 'EventReader', 'EventSplitter']
 
 
+# Far above the few kilobytes of real events. An endpoint in trouble may send
+# bytes that never end an event.
+EVENT_MAX_BYTES = 256 * 1024
+# The longest match of ``_EVENT_END``, less one byte.
+_EVENT_END_OVERLAP = 3
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 
 
@@ -45,15 +50,23 @@
         The number is None if the event has no numeric id.
 
         :param data: the next bytes of the stream
+        :raises errors.ProtocolError: if an event is larger than
+            ``EVENT_MAX_BYTES``
         """
+        searched = max(0, len(self._partial) - _EVENT_END_OVERLAP)
         buffered = self._partial + data
         found = []
         start = 0
-        for match in _EVENT_END.finditer(buffered):
+        for match in _EVENT_END.finditer(buffered, searched):
             raw = buffered[start : match.end()]
             found.append((_find_number(raw), raw))
             start = match.end()
         self._partial = buffered[start:]
+        if len(self._partial) > EVENT_MAX_BYTES:
+            raise errors.ProtocolError(
+                f'event of more than {len(self._partial)} bytes, expected at '
+                f'most {EVENT_MAX_BYTES}'
+            )
         return found
 
 
@@ -74,7 +87,8 @@
         """Return each :class:`Event` that the data completes.
 
         :param data: the next bytes of the stream
-        :raises errors.ProtocolError: if an event has no numeric id
+        :raises errors.ProtocolError: if an event has no numeric id, or is
+            larger than ``EVENT_MAX_BYTES``
         """
         found = []
         for _, raw in self._splitter.feed(data):
