Keep the owner of steps over an outage of the store

A contender's read was answered at the end of the outage and counted as a normal one, so it took the lease 30 ms later, and all items changed their owner. Change: a call leaves the relay when the store responds again; a read that took over 0.4 s counts as failed, so the contender waits 1.2 s; a former holder tries to acquire its lapsed lease without a pause.

--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -28,6 +28,10 @@
 # failed read, so that the holder can renew the lease first. A holder reaches a
 # restored store within 1 s.
 RENEWAL_GRACE_S = 1.2
+# A read that takes longer was waiting for the end of an outage, and counts as
+# failed: the holder's renewal may have waited as well. The slowest responses
+# specified for the store take 0.25 s.
+SLOW_READ_S = 0.4
 # Age of the holder's renewal time above which a stale read is repeated in
 # full. A store that has lost its history serves stale reads that are 6 s old.
 # Renewals are due every 0.6 s, and the clocks of the processes differ.
@@ -122,7 +126,9 @@
                 self._log.info('lease not renewed', reason=str(error))
                 self._drop_lapsed()
                 self._last_failure_at = self._clock.now()
-                if self.fence:
+                # A lease that has just lapsed is acquired again as soon as the
+                # store responds, unless another process may have it.
+                if self.fence or not self.possibly_taken_over:
                     await asyncio.sleep(RENEWAL_RETRY_S)
                     continue
             interval_s = self._settings.renew_s
@@ -136,10 +142,13 @@
         if self.fence:
             await self._renew()
             return
+        started = self._clock.now()
         current = await self._platform.read(LEASE_KIND, LEASE_NAME, stale=True)
         if self._looks_stale(current):
             current = await self._platform.read(LEASE_KIND, LEASE_NAME)
         now = self._clock.now()
+        if now - started > SLOW_READ_S:
+            self._last_failure_at = now
         version = current.version if current else 0
         if current is not None:
             self.known_holder = current.value['holder']
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -20,8 +20,10 @@
         self.version = 0
         self.down = False
         self.stale = None
+        self.on_read = lambda: None
 
     async def read(self, kind, name, stale=False):
+        self.on_read()
         if self.down:
             raise errors.PlatformUnavailable('down')
         if stale and self.stale is not None:
@@ -296,6 +298,72 @@
         await other.step()
         assert other.holds()
 
+    async def test_read_that_waited_for_the_end_of_an_outage_wins_no_lease(
+        self, build_manager, clock, store
+    ):
+        """A contender's read was answered the moment the store was back.
+
+        It took the lease 30 ms later, before the holder could renew it, and
+        the items of all steps changed their owner.
+        """
+        holder, other = build_manager('a', clock), build_manager('b', clock)
+        await holder.step()
+        await other.step()
+
+        def wait_for_the_end():
+            clock.time_s += 5.0
+            store.on_read = lambda: None
+
+        store.on_read = wait_for_the_end
+        await other.step()
+        assert not other.holds()
+        await holder.step()
+        assert holder.holds()
+        clock.time_s += lease.RENEWAL_GRACE_S
+        await other.step()
+        assert not other.holds()
+
+    async def test_dead_holder_is_replaced_after_such_a_read(
+        self, build_manager, clock, store
+    ):
+        holder, other = build_manager('a', clock), build_manager('b', clock)
+        await holder.step()
+        await other.step()
+
+        def wait_for_the_end():
+            clock.time_s += 5.0
+            store.on_read = lambda: None
+
+        store.on_read = wait_for_the_end
+        await other.step()
+        clock.time_s += lease.RENEWAL_GRACE_S
+        await other.step()
+        assert other.holds()
+
+    async def test_lapsed_lease_is_acquired_again_as_soon_as_possible(
+        self, build_manager, clock, store, monkeypatch
+    ):
+        waits = []
+
+        class Ended(Exception):
+            pass
+
+        async def sleep(seconds):
+            waits.append(seconds)
+            clock.time_s += 1.6
+            store.down = len(waits) <= 3
+            if len(waits) == 6:
+                raise Ended
+
+        monkeypatch.setattr(lease.asyncio, 'sleep', sleep)
+        monkeypatch.setattr(lease.links, 'jitter', lambda mean_s: mean_s)
+        manager = build_manager('a', clock)
+        with pytest.raises(Ended):
+            await manager.run()
+        retry_s = lease.RENEWAL_RETRY_S
+        assert waits[:5] == [1.0, retry_s, retry_s, retry_s, 1.0]
+        assert manager.holds()
+
     async def test_entries_that_are_not_candidates_check_rarely(
         self, build_manager, clock, monkeypatch
     ):
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -112,6 +112,7 @@
         '_idle_connections',
         '_log',
         '_probe_task',
+        '_regained',
         'calls',
         'reachable',
         'relay',
@@ -123,6 +124,8 @@
         self._idle_connections = []
         self._log = log
         self._probe_task = None
+        # Set, and replaced, when the store responds again.
+        self._regained = asyncio.Event()
         # Number of calls sent to the store by this process.
         self.calls = 0
         self.reachable = True
@@ -325,7 +328,32 @@
             else:
                 if status not in (429, 503) or self.relay is None:
                     return status, answer
-        return await self.relay(method, path, body, timeout_s)
+        return await self._call_relay(method, path, body, timeout_s)
+
+    async def _call_relay(self, method, path, body, timeout_s):
+        """Call the relay until the store responds to this process again.
+
+        In an outage, the process that relays waits in vain as well, up to a
+        second longer than the outage. A lease would lapse meanwhile.
+        """
+        relayed = asyncio.ensure_future(
+            self.relay(method, path, body, timeout_s)
+        )
+        regained = asyncio.ensure_future(self._regained.wait())
+        try:
+            await asyncio.wait(
+                (relayed, regained), return_when=asyncio.FIRST_COMPLETED
+            )
+            if relayed.done():
+                return relayed.result()
+        finally:
+            regained.cancel()
+            relayed.cancel()
+        if method == 'GET':
+            return await self.call_directly(method, path, body, timeout_s)
+        raise errors.AmbiguousWrite(
+            f'{method} {path}: the store responds again, the relay has not'
+        )
 
     async def call_directly(self, method, path, body, timeout_s):
         """Call the store without the relay; see :meth:`_call`."""
@@ -389,6 +417,8 @@
 
     def _mark_reachable(self):
         self.reachable = True
+        regained, self._regained = self._regained, asyncio.Event()
+        regained.set()
         self._became_reachable_at = asyncio.get_running_loop().time()
         self._log.info('platform regained')
 
--- a/src/clementineline/platform/tests/test_objects.py
+++ b/src/clementineline/platform/tests/test_objects.py
@@ -137,3 +137,50 @@
         with pytest.raises(errors.AmbiguousWrite):
             await client.write('lease', 'a', {'x': 1}, 0)
         assert calls == ['GET']
+
+
+class TestEndOfOutage:
+    """Calls through a relay that cannot reach the store either."""
+
+    @pytest.fixture
+    async def cut_off(self, store, client):
+        """Return the client during an outage, with a relay that hangs."""
+
+        async def hang(*call):
+            await asyncio.sleep(30)
+
+        client.relay = hang
+        store.put('lease', 'a', {'x': 1})
+        store.down = True
+        call = asyncio.create_task(client.read('lease', 'b'))
+        async with asyncio.timeout(5):
+            while client.reachable:
+                await asyncio.sleep(0.01)
+        yield client
+        call.cancel()
+
+    async def test_read_is_made_directly_when_the_store_is_back(
+        self, store, cut_off
+    ):
+        reading = asyncio.create_task(cut_off.read('lease', 'a'))
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        store.down = False
+        async with asyncio.timeout(objects.PROBE_INTERVAL_S + 0.5):
+            found = await reading
+        assert found.value['x'] == 1
+
+    async def test_write_is_resolved_when_the_store_is_back(
+        self, store, cut_off
+    ):
+        """The lease of a leader lapsed 0.55 s after an outage of 2.9 s.
+
+        Its renewal still waited for a relay, and another keeper took over.
+        """
+        writing = asyncio.create_task(cut_off.write('lease', 'c', {'x': 1}, 0))
+        await asyncio.sleep(0.1)
+        store.down = False
+        async with asyncio.timeout(objects.PROBE_INTERVAL_S + 0.5):
+            with pytest.raises(errors.AmbiguousWrite):
+                await writing
+            await cut_off.write('lease', 'c', {'x': 1}, 0)
