Keep copies of texts in several zones, at keepers that answer

The new leader gathered 0 texts, three steps started again and took 12 s, and the steps behind them were never asked. Change: holders are keepers that answer, in other zones than the leader's and each other's, and stay while they answer; what each has is tracked, so a new or returning one gets all. The leader keeps its own copy in memory and on its disk. The cache of texts is bounded to 20 MB. The checks of _collect pass what a holder has, as it is tracked for each now; they compare the same parts.

--- a/src/clementineline/coordination/members.py
+++ b/src/clementineline/coordination/members.py
@@ -37,27 +37,36 @@
     :param may_own_submissions: whether this process may own submissions
     :param store: the client of the platform's store
     :param log: logger
+    :param zone: availability zone of this process
     """
 
     __slots__ = (
-        '_address',
         '_log',
-        '_may_own_submissions',
         '_name',
+        '_record',
         '_store',
         'addresses',
         'keepers',
+        'zones',
     )
 
-    def __init__(self, name, address, may_own_submissions, store, log):
+    def __init__(
+        self, name, address, may_own_submissions, store, log, zone=''
+    ):
         self._name = name
-        self._address = address
-        self._may_own_submissions = may_own_submissions
+        # The content of this process's object.
+        self._record = {
+            'address': address,
+            'keeps': may_own_submissions,
+            'zone': zone,
+        }
         self._store = store
         self._log = log
-        # The other processes: names of keepers, and addresses by name.
+        # The other processes: names of keepers, and addresses and zones by
+        # name.
         self.keepers = set()
         self.addresses = {}
+        self.zones = {}
 
     async def run(self):
         """Register, then refresh the list of the others until cancelled."""
@@ -89,16 +98,20 @@
     def _update(self, objects):
         addresses = {}
         keepers = set()
+        zones = {}
         for found in objects:
             address = found.value.get('address')
             if found.name == self._name or not isinstance(address, str):
                 continue
             addresses[found.name] = address
+            # Processes of an earlier version write no zone.
+            zones[found.name] = found.value.get('zone', '')
             if found.value.get('keeps'):
                 keepers.add(found.name)
         if addresses:
             self.addresses = addresses
             self.keepers = keepers
+            self.zones = zones
 
     def list_keepers(self):
         """Return the sorted names of the other keepers."""
@@ -108,15 +121,13 @@
         try:
             current = await self._store.read(MEMBERS_KIND, self._name)
             if current is not None:
-                if current.value.get('address') == self._address:
+                # The store adds fields of its own to what was written.
+                if self._record.items() <= current.value.items():
                     return True
             await self._store.write(
                 MEMBERS_KIND,
                 self._name,
-                {
-                    'address': self._address,
-                    'keeps': self._may_own_submissions,
-                },
+                dict(self._record),
                 current.version if current else 0,
             )
         except errors.PlatformError as error:
--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -101,6 +101,22 @@
         server.close()
 
 
+class TestTextCacheLimits:
+    def test_oldest_texts_are_evicted_beyond_the_limit_of_bytes(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(texts, 'TEXTS_BYTES_MAX', 10)
+        cache = texts.TextCache()
+        for name in ('i1', 'i2', 'i3'):
+            cache.extend(build_part(0, ['abcd'], name))
+        cache.extend(build_part(1, ['e'], 'i2'))
+        assert cache.take('i1') is None
+        assert cache.take('i2').events == ['abcd', 'e']
+        assert cache.take('i3').events == ['abcd']
+        cache.extend(build_part(0, ['0123456789'], 'i4'))
+        assert cache.take('i4').events == ['0123456789']
+
+
 class TestTextReplicator:
     """Guards against a new owner that loses texts or starts late.
 
@@ -157,15 +173,15 @@
             texts=['a'],
             versions=[1],
         )
-        first = replicator._collect([('s1', run)])
+        first, sent = replicator._collect([('s1', run)], {})
         run.texts.extend(['b', 'c'])
-        second = replicator._collect([('s1', run)])
+        second, sent = replicator._collect([('s1', run)], sent)
         assert (first[0].first, first[0].events) == (0, ['a'])
         assert (second[0].first, second[0].events) == (1, ['b', 'c'])
-        assert replicator._collect([('s1', run)]) == []
+        assert replicator._collect([('s1', run)], sent) == ([], sent)
         run.run_id = 'r2'
         run.texts.append('d')
-        (again,) = replicator._collect([('s1', run)])
+        (again,), _ = replicator._collect([('s1', run)], sent)
         assert (again.first, again.events) == (0, ['a', 'b', 'c', 'd'])
 
     async def test_text_that_waits_for_its_score_is_sent_once_as_whole(
@@ -185,4 +201,95 @@
         for cache in caches.values():
             cached = cache.take('i1')
             assert (cached.whole, cached.events) == (True, ['a\nb'])
-        assert replicator._collect([('s1', run)]) == []
+        for sent in replicator._sent.values():
+            assert replicator._collect([('s1', run)], sent) == ([], sent)
+
+    async def test_keeper_that_is_gone_is_replaced_as_holder(
+        self, keepers, log
+    ):
+        """All texts of three steps were lost in a loss of power.
+
+        One of the two holders had been replaced 18 s earlier and was still
+        listed, and the disk of the other was lost (trouble-2 of large/).
+        """
+        known, caches = keepers
+        known.addresses['k0'] = '127.0.0.1:9'
+        known.keepers.add('k0')
+        replicator = texts.TextReplicator(known, log)
+        run = itemruns.ItemRun(
+            types.SimpleNamespace(id='i1'),
+            run_id='r1',
+            texts=['a'],
+            versions=[1],
+        )
+        await replicator.send([('s1', run)])
+        run.texts.append('b')
+        await replicator.send([('s1', run)])
+        for name in ('k1', 'k2'):
+            assert caches[name].take('i1').events == ['a', 'b']
+
+    async def test_owner_keeps_a_copy_of_its_own(self, keepers, log):
+        known, _ = keepers
+        kept = []
+        replicator = texts.TextReplicator(known, log, '', kept.extend)
+        run = itemruns.ItemRun(
+            types.SimpleNamespace(id='i1'),
+            run_id='r1',
+            texts=['a'],
+            versions=[1],
+        )
+        await replicator.send([('s1', run)])
+        run.texts.append('b')
+        await replicator.send([('s1', run)])
+        assert [(part.first, part.events) for part in kept] == [
+            (0, ['a']),
+            (1, ['b']),
+        ]
+
+    async def test_new_holder_gets_all_texts_in_messages_of_bounded_size(
+        self, keepers, log, monkeypatch
+    ):
+        monkeypatch.setattr(texts, 'MESSAGE_BYTES_MAX', 10)
+        known, caches = keepers
+        runs = []
+        for number in range(7):
+            runs.append(
+                itemruns.ItemRun(
+                    types.SimpleNamespace(id=f'i{number}'),
+                    run_id='r',
+                    texts=['abc', 'def'],
+                    versions=[1],
+                )
+            )
+        replicator = texts.TextReplicator(known, log)
+        await replicator.send([('s1', run) for run in runs])
+        for number in range(7):
+            assert caches['k1'].take(f'i{number}').events == ['abc', 'def']
+
+
+class TestHolders:
+    """Copies in one zone, or at a keeper that is gone, are lost together."""
+
+    ZONES = {'k1': 'a', 'k2': 'a', 'k3': 'b', 'k4': 'c'}
+
+    def test_holders_are_in_other_zones(self):
+        assert texts.choose_holders(list(self.ZONES), self.ZONES, 'a', []) == [
+            'k3',
+            'k4',
+        ]
+
+    def test_holder_that_answers_stays(self):
+        assert texts.choose_holders(
+            list(self.ZONES), self.ZONES, 'b', ['k4']
+        ) == ['k4', 'k1']
+
+    def test_holder_that_does_not_answer_is_replaced(self):
+        assert texts.choose_holders(
+            ['k1', 'k2', 'k4'], self.ZONES, 'b', ['k3', 'k4']
+        ) == ['k4', 'k1']
+
+    def test_own_zone_is_better_than_no_copy(self):
+        assert texts.choose_holders(['k1', 'k2'], self.ZONES, 'a', []) == [
+            'k1',
+            'k2',
+        ]
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -16,10 +16,17 @@
 from clementineline.state import questions
 from clementineline.transport import frames
 
-__all__ = ['CachedText', 'TextCache', 'TextReplicator', 'answer_texts']
-
-# Limits the cache to 20 MB at a few kilobytes for each text.
+__all__ = [
+    'CachedText',
+    'TextCache',
+    'TextReplicator',
+    'answer_texts',
+    'choose_holders',
+]
+
+# The texts of two steps of three trainers, 600 items, take some 6 MB.
 TEXTS_MAX = 4000
+TEXTS_BYTES_MAX = 20 * 1024 * 1024
 REPLICATION_INTERVAL_S = 0.4
 # A partitioned or frozen keeper must not delay a new owner.
 KEEPER_TIMEOUT_S = 0.4
@@ -28,7 +35,11 @@
 LAST_KEEPER_WAIT_S = 0.1
 # A keeper that did not answer is sent no messages for this long.
 KEEPER_RETRY_DELAY_S = 3.0
+# Copies at other keepers, besides the owner's own. Two disks may be lost when
+# all processes lose power.
 COPIES_MAX = 2
+# A keeper that becomes a holder gets all texts, which may be megabytes.
+MESSAGE_BYTES_MAX = 512 * 1024
 
 
 class CachedText(msgspec.Struct):
@@ -47,12 +58,20 @@
     whole: bool = False
 
 
+def _count_bytes(text):
+    return sum(map(len, text.events))
+
+
 class TextCache:
-    """Holds texts by item id and evicts the oldest beyond ``TEXTS_MAX``."""
+    """Holds texts by item id and evicts the oldest.
 
-    __slots__ = ('_texts',)
+    It holds at most ``TEXTS_MAX`` texts of ``TEXTS_BYTES_MAX`` in total.
+    """
+
+    __slots__ = ('_bytes', '_texts')
 
     def __init__(self):
+        self._bytes = 0
         self._texts = collections.OrderedDict()
 
     def put(self, item_id, text):
@@ -67,10 +86,11 @@
                 return
             if not text.whole and len(cached.events) > len(text.events):
                 return
+        self.take(item_id)
         self._texts[item_id] = text
-        self._texts.move_to_end(item_id)
-        while len(self._texts) > TEXTS_MAX:
-            self._texts.popitem(last=False)
+        self._bytes += _count_bytes(text)
+        while len(self._texts) > TEXTS_MAX or self._bytes > TEXTS_BYTES_MAX:
+            self.take(next(iter(self._texts)))
 
     def extend(self, part):
         """Append a part to the cached text of its item.
@@ -99,7 +119,10 @@
 
     def take(self, item_id):
         """Remove and return a text; None if none is cached."""
-        return self._texts.pop(item_id, None)
+        text = self._texts.pop(item_id, None)
+        if text is not None:
+            self._bytes -= _count_bytes(text)
+        return text
 
     def list_recent(self, bytes_max):
         """Return the most recently stored texts, oldest first.
@@ -127,21 +150,67 @@
         return found
 
 
+def choose_holders(candidates, zones, own_zone, current):
+    """Choose the keepers that hold copies of the texts.
+
+    Holders stay, since a new one needs all texts. New ones are in zones
+    without a holder, as far as there are any.
+
+    :param candidates: names of the other keepers that answer
+    :param zones: dict from name to availability zone
+    :param own_zone: availability zone of this process
+    :param current: names of the holders so far
+    :returns: list of at most ``COPIES_MAX`` names
+    """
+    holders = [name for name in current if name in candidates]
+    used = {own_zone, *(zones.get(name) for name in holders)}
+    rest = [name for name in sorted(candidates) if name not in holders]
+    for in_new_zone in (True, False):
+        for name in list(rest):
+            if len(holders) >= COPIES_MAX:
+                return holders
+            if in_new_zone and zones.get(name) in used:
+                continue
+            holders.append(name)
+            rest.remove(name)
+            used.add(zones.get(name))
+    return holders
+
+
 class TextReplicator:
     """Replicates texts to other keepers and collects them again.
 
     :param members: the :class:`~members.MemberRegistry`
     :param log: logger
+    :param zone: availability zone of this process
+    :param keep_own: called with new parts, a list of
+        :class:`~questions.TextPart`, to keep this process's own copy
     """
 
-    __slots__ = ('_clients', '_log', '_members', '_retry_at', '_sent')
+    __slots__ = (
+        '_clients',
+        '_holders',
+        '_keep_own',
+        '_log',
+        '_members',
+        '_own_sent',
+        '_retry_at',
+        '_sent',
+        '_zone',
+    )
 
-    def __init__(self, members, log):
+    def __init__(self, members, log, zone='', keep_own=lambda parts: None):
         self._members = members
         self._log = log
+        self._zone = zone
+        self._keep_own = keep_own
         self._clients = {}
         self._retry_at = {}
+        self._holders = []
+        # What each holder has, and what this process has kept itself: by item
+        # id, the run and the number of its events.
         self._sent = {}
+        self._own_sent = {}
 
     async def run(self, list_runs):
         """Replicate new events at intervals until cancelled.
@@ -154,22 +223,52 @@
             await self.send(list_runs())
 
     async def send(self, runs):
-        """Send the events since the last call to other keepers.
+        """Keep the new events here and send them to other keepers.
 
         :param runs: ``(submission id, run)`` for each unfinished item
         """
-        parts = self._collect(runs)
-        if not parts:
+        parts, self._own_sent = self._collect(runs, self._own_sent)
+        self._keep_own(parts)
+        self._update_holders()
+        await asyncio.gather(
+            *(self._send_to(name, runs) for name in self._holders)
+        )
+
+    def _update_holders(self):
+        now = asyncio.get_running_loop().time()
+        candidates = []
+        for name in self._members.list_keepers():
+            if now >= self._retry_at.get(name, 0.0):
+                candidates.append(name)
+        holders = choose_holders(
+            candidates, self._members.zones, self._zone, self._holders
+        )
+        if holders == self._holders:
             return
-        sends = []
-        for name in self._members.list_keepers()[:COPIES_MAX]:
-            sends.append(self._ask(name, questions.KeepTexts(parts)))
-        await asyncio.gather(*sends)
+        self._log.info('text holders', holders=holders, before=self._holders)
+        for name in self._holders:
+            if name not in holders:
+                self._sent.pop(name, None)
+        self._holders = holders
+
+    async def _send_to(self, name, runs):
+        """Send a holder the events that it lacks."""
+        parts, sent = self._collect(runs, self._sent.get(name, {}))
+        for message in _split_parts(parts):
+            answer = await self._ask(name, questions.KeepTexts(message))
+            if not isinstance(answer, questions.TextsAnswer):
+                # It may lack some events, so it gets all when it answers.
+                self._sent.pop(name, None)
+                return
+        self._sent[name] = sent
 
-    def _collect(self, runs):
-        """Return the events since the last call, as text parts.
+    def _collect(self, runs, sent_before):
+        """Return the events that a holder lacks, as text parts.
 
         The events of a new run are returned from the first one on.
+
+        :param sent_before: what the holder has, as in ``_sent``
+        :returns: ``(parts, sent)``: the parts, and what it has with them
         """
         parts = []
         sent = {}
@@ -178,7 +277,7 @@
             run_id = f'{run.run_id}/whole' if run.whole else run.run_id
             events = run.list_events()
             count = len(events)
-            sent_run_id, first = self._sent.get(run.item.id, ('', 0))
+            sent_run_id, first = sent_before.get(run.item.id, ('', 0))
             if sent_run_id != run_id:
                 first = 0
             sent[run.item.id] = (run_id, count)
@@ -195,8 +294,7 @@
                     run.whole,
                 )
             )
-        self._sent = sent
-        return parts
+        return parts, sent
 
     async def gather(self, submission_ids, cache):
         """Collect the texts of some submissions from all keepers.
@@ -269,6 +367,19 @@
             return None
 
 
+def _split_parts(parts):
+    """Split parts into lists of about ``MESSAGE_BYTES_MAX`` each."""
+    messages = []
+    size = MESSAGE_BYTES_MAX
+    for part in parts:
+        if size >= MESSAGE_BYTES_MAX:
+            messages.append([])
+            size = 0
+        messages[-1].append(part)
+        size += sum(map(len, part.events))
+    return messages
+
+
 def answer_texts(cache, question):
     """Store or return replicated texts for another keeper.
 
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -74,6 +74,7 @@
             self.MAY_OWN_SUBMISSIONS,
             store,
             log,
+            zone=settings.zone,
         )
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -60,7 +60,9 @@
             wait_s=RETIREMENTS_WATCH_WAIT_S,
         )
         self._text_cache = texts.TextCache()
-        self._text_replicator = texts.TextReplicator(self._members, log)
+        self._text_replicator = texts.TextReplicator(
+            self._members, log, settings.zone, self._keep_texts
+        )
         forwarder = forwarding.CallForwarder(
             self._directory, self._pool, dialect, settings.zone, log
         )
@@ -296,6 +298,13 @@
             return questions.UnknownSubmission()
         return questions.BodyAnswer(body)
 
+    def _keep_texts(self, parts):
+        """Keep parts of the owned items in the cache and on the disk."""
+        for part in parts:
+            self._text_cache.extend(part)
+        if self._text_log is not None:
+            self._text_log.append(parts)
+
     def _answer_texts(self, question):
         answer = texts.answer_texts(self._text_cache, question)
         if self._text_log is not None and isinstance(
