Let a reward service that is down hold no calls to others

Cause: reward calls waited for a slot in one line for all routes; the first of a service without endpoints stopped those of every other service. Change: a line for each route. Result: test_rewards_of_a_service_that_is_down_hold_no_others, which fails on the code before.

--- a/src/clementineline/coordination/scoring.py
+++ b/src/clementineline/coordination/scoring.py
@@ -68,7 +68,7 @@
         '_forwarder',
         '_get_routes',
         '_log',
-        '_turn',
+        '_turns',
         'on_verdict',
     )
 
@@ -81,8 +81,9 @@
         # Number of calls in progress by the name of their route.
         self._active = collections.Counter()
         self._call_ended = asyncio.Event()
-        # Held by the call that is the next to get a slot.
-        self._turn = asyncio.Lock()
+        # Held by the call that is the next of its route to get a slot. Calls
+        # of a service that is down must not hold those of others.
+        self._turns = collections.defaultdict(asyncio.Lock)
         self.on_verdict = lambda outcome: None
 
     async def score(self, submission, item):
@@ -153,7 +154,7 @@
 
     async def _wait_for_room(self, route):
         """Wait until a reward call may be sent, in the order of arrival."""
-        async with self._turn:
+        async with self._turns[route.name]:
             while self._active[route.name] >= self._count_slots(route):
                 self._call_ended.clear()
                 try:
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -19,12 +19,12 @@
 FAST_LEASE = settings.LeaseSettings(duration_s=0.6, renew_s=0.1, quiet_s=0.1)
 
 
-def build_scorer(submission_id, number):
+def build_scorer(submission_id, number, path):
     """Return the wire form of an item's reward call."""
     return {
         'id': f'{submission_id}-r{number}',
         'host': 'shop.example',
-        'path': f'/live/score/{number}?of={submission_id}',
+        'path': f'{path}/{number}?of={submission_id}',
         'body': base64.b64encode(b'reply %d' % number).decode(),
     }
 
@@ -123,11 +123,18 @@
         return reply.status_code, tuple(reply.headers), answer
 
     async def submit(
-        self, gateway, submission_id, items=4, scored=False, **fields
+        self,
+        gateway,
+        submission_id,
+        items=4,
+        scored=False,
+        scorer_path='/live/score',
+        **fields,
     ):
         """Submit a batch of items in groups of two; return the status.
 
         :param scored: whether each item has a reward call
+        :param scorer_path: start of the paths of the reward calls
         """
         body = {
             'step': 0,
@@ -149,7 +156,9 @@
         }
         for number, item in enumerate(body['items']):
             if scored:
-                item['scorer'] = build_scorer(submission_id, number)
+                item['scorer'] = build_scorer(
+                    submission_id, number, scorer_path
+                )
         status, _, _ = await self.call(
             gateway,
             'POST',
--- a/src/clementineline/platform/tests/test_rewards.py
+++ b/src/clementineline/platform/tests/test_rewards.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from clementineline.platform.tests import standin
+
 ITEMS = 8
 
 
@@ -179,3 +181,27 @@
         results = await served.read_all(gateway, 's1', 24)
         assert all(result['score'] == 'stamp' for result in results)
         assert desk.running_max <= 3
+
+    async def test_rewards_of_a_service_that_is_down_hold_no_others(
+        self, served, gateway, desk, wait_until
+    ):
+        manifest = standin.build_manifest(2)
+        route = dict(manifest['routes'][0])
+        route.update(name='r-gone', pathPrefix='/gone/', service='gone')
+        manifest['routes'].append(route)
+        manifest['services'].append(
+            {**manifest['services'][0], 'name': 'gone'}
+        )
+        served.store.put('config', 'main', manifest)
+        leader = served.keepers[served.find_leader()]
+        await wait_until(lambda: leader._routes.table.version == 2)
+        await wait_until(lambda: gateway._routes.table.version == 2)
+        await served.submit(
+            gateway, 's1', 2, scored=True, scorer_path='/gone/x'
+        )
+        await asyncio.sleep(0.3)
+        await served.submit(gateway, 's2', 4, scored=True)
+        results = await served.read_all(gateway, 's2', 4)
+        assert all(result['score'] == 'stamp' for result in results)
+        status, page = await served.read(gateway, 's1')
+        assert (status, page['results']) == (200, [])
