--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -334,7 +334,7 @@
         """Call the relay until the store responds to this process again.
 
         In an outage, the process that relays waits in vain as well, up to a
-        second longer than the outage. A lease would lapse meanwhile.
+        second longer than the outage, and a lease would lapse in that time.
         """
         relayed = asyncio.ensure_future(
             self.relay(method, path, body, timeout_s)
