--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -201,6 +201,7 @@
         for cache in caches.values():
             cached = cache.take('i1')
             assert (cached.whole, cached.events) == (True, ['a\nb'])
+        assert sorted(replicator._sent) == ['k1', 'k2']
         for sent in replicator._sent.values():
             assert replicator._collect([('s1', run)], sent) == ([], sent)
 
