Read the limit that an endpoint names, and count requests by purpose

Callers saw: nothing; operators could not tell who sent what to an endpoint in need. Cause: the header was read nowhere, and probes, reports and orders leave no line. Change: ReplyFacts.rate_limit, read from every response in the connection pool, which all requests to endpoints pass; lines and metrics. No decision changes.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -1,6 +1,7 @@
 """Pool of connections to endpoints."""
 
 import asyncio
+import functools
 
 from clementineline.transport import http
 from clementineline.transport import outgoing
@@ -22,23 +23,36 @@
 class ConnectionPool:
     """Opens connections to endpoints and keeps idle ones for reuse.
 
+    All requests to endpoints are sent on connections of the pool, one request
+    for each :meth:`acquire`.
+
+    :param limits: the :class:`~ratelimits.RateLimits`
     :ivar opened: number of connections opened so far
     """
 
-    __slots__ = ('_idle', 'opened')
+    __slots__ = ('_idle', '_limits', 'opened')
 
-    def __init__(self):
+    def __init__(self, limits):
         self._idle = {}
+        self._limits = limits
         self.opened = 0
 
-    async def acquire(self, state, timeout_s=CONNECT_TIMEOUT_S):
-        """Return an idle connection to an endpoint, or open one.
+    async def acquire(self, state, purpose, timeout_s=CONNECT_TIMEOUT_S):
+        """Return a connection to an endpoint for one request.
 
         :param state: the :class:`~directory.EndpointState`
+        :param purpose: one of :class:`~ratelimits.Purpose`
         :param timeout_s: longest time to connect, in seconds
         :raises errors.ConnectionLost: if the endpoint does not accept a
             connection
         """
+        client = await self._connect(state, timeout_s)
+        client.on_response = functools.partial(self._limits.observe, state)
+        self._limits.count(state, purpose)
+        return client
+
+    async def _connect(self, state, timeout_s):
+        """Return an idle connection to an endpoint, or open one."""
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(state.id, [])
         while idle:
@@ -69,15 +83,16 @@
             return
         idle.append(client)
 
-    async def exchange(self, state, head, body=b''):
+    async def exchange(self, state, purpose, head, body=b''):
         """Send a small request and return the complete response.
 
         :param state: the :class:`~directory.EndpointState`
+        :param purpose: one of :class:`~ratelimits.Purpose`
         :param head: a :class:`~http.Head`
         :returns: ``(response, body)``
         :raises errors.ProtocolError: if there is no valid response
         """
-        client = await self.acquire(state)
+        client = await self.acquire(state, purpose)
         done = False
         try:
             client.send_request(head, body)
--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -30,6 +30,8 @@
     :ivar queued: requests that wait at the endpoint, as last reported
     :ivar slowness: duration of work at the endpoint relative to normal, as
         last reported; 1.0 for normal speed
+    :ivar rate_limit: requests a second that the endpoint takes from all
+        processes together, as last named; None for no limit
     :ivar load_at: loop time of the last load report, in seconds
     :ivar pace_s: smoothed time for an event, in seconds, or None
     :ivar slow_since: loop time since which the pace has been slow, or None
@@ -52,6 +54,7 @@
         'pace_at',
         'pace_s',
         'queued',
+        'rate_limit',
         'record',
         'slow_since',
         'slowness',
@@ -67,6 +70,7 @@
         self.other_requests = 0
         self.load_at = -LOAD_TTL_S
         self.queued = 0
+        self.rate_limit = None
         self.slow_since = None
         self.slowness = 1.0
         self.failures = 0
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import verdicts
 
@@ -81,6 +82,7 @@
 
     :param retry_failures: whether a response of 500 or more leads to an
         attempt at another endpoint, if the route allows it
+    :param purpose: one of :class:`~ratelimits.Purpose`
     """
 
     route: object
@@ -90,6 +92,7 @@
     deadline: float
     service: str
     retry_failures: bool
+    purpose: str
     tried: list = dataclasses.field(default_factory=list)
 
 
@@ -113,7 +116,14 @@
         self._log = log
 
     async def forward(
-        self, route, head, body, request_id, deadline, retry_failures=True
+        self,
+        route,
+        head,
+        body,
+        request_id,
+        deadline,
+        retry_failures=True,
+        purpose=ratelimits.Purpose.CALL,
     ):
         """Send a call to endpoints until a verdict is final.
 
@@ -121,6 +131,7 @@
         :param deadline: loop time at which the caller gives up, in seconds
         :param retry_failures: whether a response of 500 or more leads to an
             attempt at another endpoint, if the route allows it
+        :param purpose: one of :class:`~ratelimits.Purpose`
         :returns: a verdict
         """
         service = choose_service(route.targets, random.random())
@@ -132,6 +143,7 @@
             deadline,
             service,
             retry_failures,
+            purpose,
         )
         pending = set()
         try:
@@ -237,7 +249,7 @@
     async def _exchange(self, attempts, state):
         loop = asyncio.get_running_loop()
         try:
-            client = await self._pool.acquire(state)
+            client = await self._pool.acquire(state, attempts.purpose)
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), RETRY_AFTER_S)
         complete = False
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -4,6 +4,7 @@
 import dataclasses
 import uuid
 
+from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.state import submissions
 from clementineline.transport import events
@@ -130,7 +131,7 @@
     :returns: ``(end, reason)`` with the end one of :class:`RunEnd`
     """
     try:
-        client = await pool.acquire(state)
+        client = await pool.acquire(state, ratelimits.Purpose.ITEM)
     except errors.ConnectionLost as error:
         return RunEnd.UNREACHED, str(error)
     reusable = False
--- a/src/clementineline/coordination/probing.py
+++ b/src/clementineline/coordination/probing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from clementineline.coordination import ratelimits
 from clementineline import errors
 
 __all__ = ['LOAD_MAX_AGE_S', 'LoadProber']
@@ -51,7 +52,9 @@
         head = self._dialect.build_health_call(service, state.record)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                reply, _ = await self._pool.exchange(state, head)
+                reply, _ = await self._pool.exchange(
+                    state, ratelimits.Purpose.PROBE, head
+                )
         except (errors.ProtocolError, TimeoutError) as error:
             self._log.debug(
                 'endpoint not probed', endpoint=state.id, reason=repr(error)
--- a/src/clementineline/coordination/scoring.py
+++ b/src/clementineline/coordination/scoring.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from clementineline.coordination import directory
+from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import verdicts
 
@@ -186,6 +187,7 @@
                 reward_call.id,
                 deadline,
                 retry_failures=False,
+                purpose=ratelimits.Purpose.REWARD,
             )
         finally:
             self._active[route.name] -= 1
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -10,6 +10,7 @@
 import random
 
 from clementineline.coordination import forwarding
+from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.transport import events
@@ -136,7 +137,7 @@
     async def _exchange(self, route, state, stream, incoming, deadline):
         loop = asyncio.get_running_loop()
         try:
-            client = await self._pool.acquire(state)
+            client = await self._pool.acquire(state, ratelimits.Purpose.STREAM)
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
         complete = False
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -10,6 +10,7 @@
 import statistics
 
 from clementineline.coordination import placement
+from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import links
 from clementineline.state import dialect as dialects
@@ -376,7 +377,9 @@
         )
         head, body = self._dialect.build_order_call(order, state.record)
         self.last_order_at = asyncio.get_running_loop().time()
-        status, _ = await self._call(state, head, body)
+        status, _ = await self._call(
+            state, ratelimits.Purpose.ORDER, head, body
+        )
         outcome = self._dialect.read_order_status(status)
         self.on_outcome(outcome)
         self._log.info(
@@ -414,12 +417,16 @@
 
     async def _read_report(self, state):
         head = self._dialect.build_report_call(state.record)
-        status, body = await self._call(state, head, b'')
+        status, body = await self._call(
+            state, ratelimits.Purpose.REPORT, head, b''
+        )
         if status != 200:
             raise errors.ProtocolError(f'report: status {status}')
         return self._dialect.decode_report(body)
 
-    async def _call(self, state, head, body):
+    async def _call(self, state, purpose, head, body):
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            reply, answer = await self._pool.exchange(state, head, body)
+            reply, answer = await self._pool.exchange(
+                state, purpose, head, body
+            )
         return reply.status_code, answer
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -9,6 +9,7 @@
 from clementineline.coordination import ledger
 from clementineline.coordination import members
 from clementineline.coordination import objectwatcher
+from clementineline.coordination import ratelimits
 from clementineline.coordination import routetable
 from clementineline.daemons import metrics
 from clementineline.daemons import tasks
@@ -66,7 +67,8 @@
             wait_s=route_intervals.wait_s,
             check_interval_s=route_intervals.check_interval_s,
         )
-        self._pool = connections.ConnectionPool()
+        self._limits = ratelimits.RateLimits(dialect.read_reply, log)
+        self._pool = connections.ConnectionPool(self._limits)
         self._ledger = ledger.Ledger(store, settings.value_bytes)
         self._members = members.MemberRegistry(
             settings.name,
@@ -80,6 +82,7 @@
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
         )
+        self._limits.on_request = self._count_endpoint_request
         self._stopping = False
 
     def _build_watcher(self, kind, on_objects, **options):
@@ -120,6 +123,10 @@
         process_metrics.set('store_calls', self._store.calls)
         process_metrics.set('store_reachable', int(self._store.reachable))
         process_metrics.set('endpoints', len(self._directory.endpoints))
+        process_metrics.set('endpoints_limited', self._limits.count_limited())
+
+    def _count_endpoint_request(self, purpose):
+        self.metrics.count('endpoint_requests_total', purpose=purpose)
 
     def _apply_endpoints(self, objects, removed, whole):
         recently_unreachable = self._endpoint_watcher.was_unreachable(
@@ -140,6 +147,7 @@
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self._directory.remove_expired()
             self._pool.close_idle(self._directory.endpoints)
+            self._limits.log_requests(self._directory.endpoints)
 
     async def _serve_peer(self, stream):
         await asking.serve_questions(
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -48,6 +48,8 @@
     'store_calls': 'Calls made to the platform store.',
     'store_reachable': 'Whether the platform store answers the process.',
     'endpoints': 'Endpoints that are known.',
+    'endpoint_requests_total': 'Requests sent to endpoints, by purpose.',
+    'endpoints_limited': 'Endpoints that name a limit of requests a second.',
     'log_lines_dropped': 'Log lines left out since their reader was slow.',
 }
 
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -1,5 +1,7 @@
 """Headers of callers' requests, requests to endpoints, and responses."""
 
+import math
+
 from clementineline.state import dialect
 from clementineline.transport import http
 
@@ -45,6 +47,14 @@
     return int(text)
 
 
+def _read_rate(text):
+    """Return a rate per second; None if it is missing or malformed."""
+    rate = _read_number(text)
+    if rate is None or not math.isfinite(rate) or rate < 0:
+        return None
+    return rate
+
+
 def read_call(head):
     """Read the identity, destination and time limit of a caller's request.
 
@@ -153,6 +163,7 @@
         waiting,
         slowness,
         _read_integer(http.find_header(headers, b'weight-versions')),
+        _read_rate(http.find_header(headers, b'server-limit')),
     )
 
 
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -38,9 +38,9 @@
         await self.server.drain(0.0)
 
 
-def respond_json(incoming, value, status=200):
+def respond_json(incoming, value, status=200, headers=()):
     """Respond with a JSON value."""
-    headers = ((b'Content-Type', b'application/json'),)
+    headers = ((b'Content-Type', b'application/json'), *headers)
     incoming.respond(status, headers, json.dumps(value).encode())
 
 
@@ -254,6 +254,10 @@
     - ``endless``: bytes that are sent again and again instead of a response
       of a plain service or an engine, until the caller closes
     - ``slowness``: reported factor by which work takes longer than usual
+    - ``rate_limit``: requests a second that each response names as limit;
+      None for no limit
+    - ``arrivals``: loop times of all requests, probes and orders included,
+      without those that get status 421
     """
 
     def __init__(self, log, name, versions=None):
@@ -280,6 +284,8 @@
         self.trailing_bytes = b''
         self.accepted = 0
         self.slowness = 1.0
+        self.rate_limit = None
+        self.arrivals = []
         self.health_requests = 0
         self.events_sent = 0
 
@@ -309,6 +315,7 @@
         if headers.get('expect-instance') != self.name:
             incoming.respond(421, (), b'')
             return
+        self.arrivals.append(asyncio.get_running_loop().time())
         path = head.path.decode()
         if path == '/api/report':
             self._report(incoming)
@@ -317,12 +324,13 @@
             await self._order(incoming)
             return
         load = (b'Server-Load', b'1,0,4,%d' % (self.slowness * 100))
+        stated = (load, *self._build_limit_headers())
         if path == '/health':
             self.health_requests += 1
-            incoming.respond(200, (load,), b'')
+            incoming.respond(200, stated, b'')
             return
         request_id = headers.get('request-id', '')
-        echo = ((b'Request-Id', request_id.encode()), load)
+        echo = ((b'Request-Id', request_id.encode()), *stated)
         if self.shed:
             incoming.respond(503, (*echo, (b'Not-Executed', b'1')), b'')
             return
@@ -335,6 +343,11 @@
         finally:
             self.running -= 1
 
+    def _build_limit_headers(self):
+        if self.rate_limit is None:
+            return ()
+        return ((b'Server-Limit', b'%g' % self.rate_limit),)
+
     async def _run(self, incoming, request_id, headers, echo):
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
@@ -418,12 +431,13 @@
                 'kvTotal': 1000,
                 'handles': 0,
             },
+            headers=self._build_limit_headers(),
         )
 
     async def _order(self, incoming):
         order = json.loads(incoming.body)
         if order['expected'] != self.accepted:
-            incoming.respond(409, (), b'')
+            incoming.respond(409, self._build_limit_headers(), b'')
             return
         self.orders.append(order)
         if self.lose_orders:
@@ -432,7 +446,7 @@
             return
         self.accepted += 1
         self.versions[order['model']] = order['version']
-        incoming.respond(202, (), b'')
+        incoming.respond(202, self._build_limit_headers(), b'')
 
 
 def build_manifest(version=1, **changes):
--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -173,6 +173,17 @@
         facts = calls.read_reply(((b'Server-Load', b'x,2'),))
         assert facts.running is None
 
+    @pytest.mark.parametrize(
+        ('named', 'limit'),
+        [(b'3.8', 3.8), (b'2', 2.0), (b'-1', None), (b'nan', None)],
+    )
+    def test_limit_of_requests_a_second_is_read(self, named, limit):
+        facts = calls.read_reply(((b'Server-Limit', named),))
+        assert facts.rate_limit == limit
+
+    def test_response_without_a_limit_names_none(self):
+        assert calls.read_reply(()).rate_limit is None
+
 
 class TestBatches:
     def test_calls_about_submissions_are_distinguished(self):
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 from clementineline.coordination import connections
 from clementineline.coordination import directory
 from clementineline.coordination import forwarding
+from clementineline.coordination import ratelimits
 from clementineline.platform import dialect
 from clementineline.platform.tests import standin
 from clementineline.protocol import verdicts
@@ -86,7 +87,9 @@
             )
             self.forwarder = forwarding.CallForwarder(
                 self.endpoint_directory,
-                connections.ConnectionPool(),
+                connections.ConnectionPool(
+                    ratelimits.RateLimits(dialect.WireDialect.read_reply, log)
+                ),
                 dialect.WireDialect(),
                 'walvis-a',
                 log,
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -83,6 +83,8 @@
     :param slowness: reported duration of work relative to normal, 1.0 for
         normal speed
     :param version: weights version of the model, None if not reported
+    :param rate_limit: requests a second that the endpoint takes from all
+        processes together, None for no limit
     """
 
     request_id: str
@@ -92,6 +94,7 @@
     waiting: int | None
     slowness: float
     version: int | None
+    rate_limit: float | None = None
 
     @property
     def signed(self):
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -16,18 +16,26 @@
     """An HTTP connection to an endpoint, for one request at a time.
 
     :param channel: the open :class:`~channels.Channel`
+    :ivar on_response: called with the head of each response
     :ivar response: head of the last response, or None
     :ivar used_at: loop time at which the connection was opened or the last
         response ended, in seconds
     """
 
-    __slots__ = ('_channel', '_protocol', 'response', 'used_at')
+    __slots__ = (
+        '_channel',
+        '_protocol',
+        'on_response',
+        'response',
+        'used_at',
+    )
 
     def __init__(self, channel):
         self._channel = channel
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_MAX_BYTES
         )
+        self.on_response = lambda response: None
         self.response = None
         self.used_at = asyncio.get_running_loop().time()
 
@@ -78,6 +86,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.response = event
+                self.on_response(event)
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
