Divide the limit that an endpoint names among all processes

Cause: the limit is of all processes together, and each decided alone when to send, at seven places without a common admission. Change: each request to an endpoint with a limit needs a permit of one keeper, which all send paths ask for in the pool of connections; who finds a limit tells it to all. Probes are left out, an engine with a limit is asked for fewer reports, orders wait for their permit and check the lease after it. A live call that no endpoint may take is refused at once.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -37,21 +37,25 @@
         self._limits = limits
         self.opened = 0
 
-    async def acquire(self, state, purpose, timeout_s=CONNECT_TIMEOUT_S):
+    async def acquire(self, state, purpose, wait_s=0.0):
         """Return a connection to an endpoint for one request.
 
         :param state: the :class:`~directory.EndpointState`
         :param purpose: one of :class:`~ratelimits.Purpose`
-        :param timeout_s: longest time to connect, in seconds
+        :param wait_s: how long the request may wait for its turn if the
+            endpoint names a limit, in seconds
         :raises errors.ConnectionLost: if the endpoint does not accept a
             connection
+        :raises errors.LimitReached: if the request would exceed the limit
+            that the endpoint names
         """
-        client = await self._connect(state, timeout_s)
+        await self._limits.admit(state, purpose, wait_s)
+        client = await self._connect(state)
         client.on_response = functools.partial(self._limits.observe, state)
         self._limits.count(state, purpose)
         return client
 
-    async def _connect(self, state, timeout_s):
+    async def _connect(self, state):
         """Return an idle connection to an endpoint, or open one."""
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(state.id, [])
@@ -61,7 +65,7 @@
                 return client
             client.close()
         self.opened += 1
-        return await outgoing.connect(state.address, timeout_s)
+        return await outgoing.connect(state.address, CONNECT_TIMEOUT_S)
 
     def release(self, state, client):
         """Keep a connection for reuse, or close it.
@@ -83,16 +87,15 @@
             return
         idle.append(client)
 
-    async def exchange(self, state, purpose, head, body=b''):
-        """Send a small request and return the complete response.
+    async def exchange(self, state, client, head, body=b''):
+        """Send a small request, return the response and keep the connection.
 
         :param state: the :class:`~directory.EndpointState`
-        :param purpose: one of :class:`~ratelimits.Purpose`
+        :param client: a connection that :meth:`acquire` returned
         :param head: a :class:`~http.Head`
         :returns: ``(response, body)``
         :raises errors.ProtocolError: if there is no valid response
         """
-        client = await self.acquire(state, purpose)
         done = False
         try:
             client.send_request(head, body)
--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -30,8 +30,7 @@
     :ivar queued: requests that wait at the endpoint, as last reported
     :ivar slowness: duration of work at the endpoint relative to normal, as
         last reported; 1.0 for normal speed
-    :ivar rate_limit: requests a second that the endpoint takes from all
-        processes together, as last named; None for no limit
+    :ivar limit: the :class:`~ratelimits.EndpointLimit`; None for no limit
     :ivar load_at: loop time of the last load report, in seconds
     :ivar pace_s: smoothed time for an event, in seconds, or None
     :ivar slow_since: loop time since which the pace has been slow, or None
@@ -48,13 +47,13 @@
         'failures',
         'in_flight',
         'item_runs',
+        'limit',
         'load_at',
         'loading_models',
         'other_requests',
         'pace_at',
         'pace_s',
         'queued',
-        'rate_limit',
         'record',
         'slow_since',
         'slowness',
@@ -70,7 +69,7 @@
         self.other_requests = 0
         self.load_at = -LOAD_TTL_S
         self.queued = 0
-        self.rate_limit = None
+        self.limit = None
         self.slow_since = None
         self.slowness = 1.0
         self.failures = 0
@@ -95,6 +94,8 @@
         self.record = record
         self.address = frames.parse_address(record.address)
         self.expires_at = None
+        if restarted:
+            self.limit = None
         for model, version in record.versions.items():
             if restarted or version > self.versions.get(model, 0):
                 self.versions[model] = version
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -8,7 +8,12 @@
 from clementineline import errors
 from clementineline.protocol import verdicts
 
-__all__ = ['CallForwarder', 'choose_endpoint', 'choose_service']
+__all__ = [
+    'CallForwarder',
+    'choose_endpoint',
+    'choose_service',
+    'choose_verdict',
+]
 
 RESPONSE_MAX_BYTES = 32 * 1024 * 1024
 # Share of the route's target latency after which an idempotent call without a
@@ -21,6 +26,15 @@
 # slots, so that endpoints in the own zone are preferred.
 OTHER_ZONE_LOAD_PENALTY = 0.02
 
+# Load added to an endpoint with a limit, as a share of its slots: others get
+# the requests until all their slots are in use.
+LIMIT_LOAD_PENALTY = 1.0
+# Longest wait for a permit, as a share of the route's target latency.
+PERMIT_WAIT_SHARE = 0.25
+# Limit on the endpoints that refuse a call because of their limits. Asking all
+# of a large service would take longer than a caller waits.
+LIMIT_REFUSALS_MAX = 4
+
 # If no verdict of a call is final, the caller gets the one of highest rank.
 _RANKS = {
     verdicts.NotRun: 0,
@@ -45,15 +59,19 @@
     return targets[-1].service
 
 
-def choose_endpoint(candidates, tried, zone, now):
+def choose_endpoint(candidates, tried, zone, now, hedge=False):
     """Choose the endpoint with the lowest estimated load.
 
-    Endpoints that are in backoff after a failure come last.
+    Endpoints that are in backoff after a failure come last. An endpoint that
+    names a limit comes after those that have free slots, unless its limit may
+    have ended.
 
     :param candidates: :class:`~directory.EndpointState` of the service
     :param tried: ids of endpoints that this call was already sent to
     :param zone: availability zone of this process
     :param now: loop time, in seconds
+    :param hedge: whether another attempt of the call is in progress; an
+        endpoint with a limit is then not chosen
     :returns: an :class:`~directory.EndpointState`, or None
     """
     best = None
@@ -65,6 +83,12 @@
         if state.record.zone != zone:
             load += OTHER_ZONE_LOAD_PENALTY
         load *= max(state.slowness, 1.0)
+        limit = state.limit
+        if limit is not None:
+            if hedge:
+                continue
+            if now - limit.known.named_at < ratelimits.RECHECK_S:
+                load += LIMIT_LOAD_PENALTY
         in_backoff = now < state.backoff_until
         score = (
             in_backoff,
@@ -76,6 +100,26 @@
     return best
 
 
+def choose_verdict(last, verdict):
+    """Choose the verdict that a caller gets if no later one is final.
+
+    Of two refusals, it is the one after which the caller may retry sooner.
+
+    :param last: the verdict that was chosen so far, or None
+    :param verdict: the verdict of the attempt after it
+    """
+    if last is None:
+        return verdict
+    refusals = isinstance(last, verdicts.NotRun) and isinstance(
+        verdict, verdicts.NotRun
+    )
+    if refusals and last.retry_after_s < verdict.retry_after_s:
+        return last
+    if _RANKS[type(verdict)] >= _RANKS[type(last)]:
+        return verdict
+    return last
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempts:
     """A call, its service and the endpoints that it was sent to.
@@ -83,6 +127,9 @@
     :param retry_failures: whether a response of 500 or more leads to an
         attempt at another endpoint, if the route allows it
     :param purpose: one of :class:`~ratelimits.Purpose`
+    :param tried: ids of the endpoints that the call was sent to
+    :param refused: ids of the endpoints that it was not sent to, because of
+        their limits
     """
 
     route: object
@@ -94,6 +141,7 @@
     retry_failures: bool
     purpose: str
     tried: list = dataclasses.field(default_factory=list)
+    refused: list = dataclasses.field(default_factory=list)
 
 
 class CallForwarder:
@@ -154,21 +202,23 @@
 
     async def _run_attempts(self, attempts, pending):
         loop = asyncio.get_running_loop()
-        last = verdicts.NotRun('no endpoint is known', RETRY_AFTER_S)
+        last = None
         hedge_at = None
         while True:
             now = loop.time()
             if now >= attempts.deadline:
                 return verdicts.MayHaveRun('time limit')
             if not pending or (hedge_at is not None and now >= hedge_at):
-                task = self._start_attempt(attempts, now)
+                task = self._start_attempt(attempts, now, bool(pending))
                 if task is not None:
                     pending.add(task)
                 hedge_at = None
                 if task is not None and attempts.route.idempotent:
                     hedge_at = now + attempts.route.aim_s * HEDGE_DELAY_SHARE
             if not pending:
-                return last
+                return last or verdicts.NotRun(
+                    'no endpoint is known', RETRY_AFTER_S
+                )
             wake_at = attempts.deadline
             if hedge_at is not None:
                 wake_at = min(wake_at, hedge_at)
@@ -182,8 +232,7 @@
                 verdict = task.result()
                 if self._is_final(attempts, verdict):
                     return verdict
-                if _RANKS[type(verdict)] >= _RANKS[type(last)]:
-                    last = verdict
+                last = choose_verdict(last, verdict)
 
     def _is_final(self, attempts, verdict):
         """Return whether the call ends with this verdict."""
@@ -197,15 +246,18 @@
             return not attempts.route.idempotent
         return False
 
-    def _start_attempt(self, attempts, now):
+    def _start_attempt(self, attempts, now, hedge):
         if len(attempts.tried) >= attempts.route.attempts_max:
             return None
+        if len(attempts.refused) >= LIMIT_REFUSALS_MAX:
+            return None
         # Endpoints may have left since the last attempt.
         state = choose_endpoint(
             self._directory.list_usable(attempts.service),
-            attempts.tried,
+            [*attempts.tried, *attempts.refused],
             self._zone,
             now,
+            hedge,
         )
         if state is None:
             return None
@@ -221,8 +273,14 @@
         started = loop.time()
         state.in_flight += 1
         verdict = None
+        sent = True
         try:
             verdict = await self._exchange(attempts, state)
+        except errors.LimitReached as error:
+            sent = False
+            attempts.tried.remove(state.id)
+            attempts.refused.append(state.id)
+            verdict = verdicts.NotRun(str(error), error.retry_after_s)
         finally:
             state.in_flight -= 1
             self._log.info(
@@ -242,14 +300,15 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
-        else:
+        elif sent:
             state.record_failure(loop.time())
         return verdict
 
     async def _exchange(self, attempts, state):
         loop = asyncio.get_running_loop()
+        wait_s = attempts.route.aim_s * PERMIT_WAIT_SHARE
         try:
-            client = await self._pool.acquire(state, attempts.purpose)
+            client = await self._pool.acquire(state, attempts.purpose, wait_s)
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), RETRY_AFTER_S)
         complete = False
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -23,7 +23,8 @@
 
     COMPLETED: the engine sent the complete text. FAILED: it answered that
     the item failed. IMPOSSIBLE: it rejected the item permanently. NOT_RUN: it
-    refused to run the item now. UNREACHED: no connection could be made.
+    refused to run the item now. LIMITED: it was not sent, because of the
+    limit that the engine names. UNREACHED: no connection could be made.
     BROKEN: the response was late, incomplete or unexpected, or the run was
     cancelled. STALE: the engine's weights version is older than the
     submission accepts.
@@ -33,6 +34,7 @@
     FAILED = 'failed'
     IMPOSSIBLE = 'impossible'
     NOT_RUN = 'not_run'
+    LIMITED = 'limited'
     UNREACHED = 'unreached'
     BROKEN = 'broken'
     STALE = 'stale'
@@ -132,6 +134,8 @@
     """
     try:
         client = await pool.acquire(state, ratelimits.Purpose.ITEM)
+    except errors.LimitReached as error:
+        return RunEnd.LIMITED, str(error)
     except errors.ConnectionLost as error:
         return RunEnd.UNREACHED, str(error)
     reusable = False
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -63,11 +63,14 @@
     :param model: the items' model, empty for none
     :param version_min: oldest version that may run the items
     :param now: loop time, in seconds
+    :param limits: the :class:`~ratelimits.RateLimits`, or None if engines
+        have no limits of requests a second
     """
 
-    __slots__ = ('_heap',)
+    __slots__ = ('_heap', '_limits')
 
-    def __init__(self, candidates, model, version_min, now):
+    def __init__(self, candidates, model, version_min, now, limits=None):
+        self._limits = limits
         paces = [state.pace_s for state in candidates if state.pace_s]
         fastest_s = min(paces, default=None)
         self._heap = []
@@ -78,6 +81,8 @@
                 continue
             if not can_run(state, model, version_min):
                 continue
+            if limits is not None and not limits.may_start(state):
+                continue
             slowness = _estimate_slowness(state, fastest_s, now)
             rank = round(math.log(slowness, 1.5))
             entry = (rank, len(state.item_runs), state.id, state)
@@ -99,10 +104,15 @@
         while self._heap:
             entry = heapq.heappop(self._heap)
             rank, running, name, state = entry
+            limits = self._limits
+            if limits is not None and not limits.may_start(state):
+                continue
             if name in excluded or (fits is not None and not fits(state)):
                 passed.append(entry)
                 continue
             chosen = state
+            if limits is not None:
+                limits.reserve(state)
             if running + 1 < state.record.slots:
                 passed.append((rank, running + 1, name, state))
             break
--- a/src/clementineline/coordination/probing.py
+++ b/src/clementineline/coordination/probing.py
@@ -40,6 +40,9 @@
         now = asyncio.get_running_loop().time()
         probes = []
         for state in states:
+            if state.limit is not None:
+                # A probe would take the place of a request.
+                continue
             if now - state.load_at > LOAD_MAX_AGE_S / 2:
                 probes.append(self._probe_endpoint(state))
         await asyncio.gather(*probes)
@@ -52,10 +55,15 @@
         head = self._dialect.build_health_call(service, state.record)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                reply, _ = await self._pool.exchange(
-                    state, ratelimits.Purpose.PROBE, head
+                client = await self._pool.acquire(
+                    state, ratelimits.Purpose.PROBE
                 )
-        except (errors.ProtocolError, TimeoutError) as error:
+                reply, _ = await self._pool.exchange(state, client, head)
+        except (
+            errors.LimitReached,
+            errors.ProtocolError,
+            TimeoutError,
+        ) as error:
             self._log.debug(
                 'endpoint not probed', endpoint=state.id, reason=repr(error)
             )
--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -1,12 +1,46 @@
-"""Limits of requests a second that endpoints name in their responses."""
+"""Admission of requests to endpoints that name a limit.
+
+A limit of requests a second is for all processes together. Each request to an
+endpoint with a limit therefore needs a permit of the keeper that divides the
+limit, see :mod:`~clementineline.coordination.permits`. The keeper is chosen by
+rendezvous hashing over the members. It also tells the limit to all other
+processes, before each of them learns it from a response.
+"""
 
 import asyncio
 import collections
 
-__all__ = ['Purpose', 'RateLimits']
+import msgspec
+
+from clementineline.coordination import peers
+from clementineline.coordination import permits
+from clementineline.coordination import rendezvous
+from clementineline import errors
+from clementineline.state import questions
+
+__all__ = [
+    'QUESTIONS',
+    'RECHECK_S',
+    'EndpointLimit',
+    'Purpose',
+    'RateLimits',
+]
 
 # Time between two lines on the requests sent to endpoints with a limit.
 LOG_INTERVAL_S = 4.0
+ASK_TIMEOUT_S = 0.25
+PASS_ON_TIMEOUT_S = 0.1
+ASK_BACKOFF_S = 2.0
+# Limit on the keepers that are asked for one permit.
+ISSUERS_MAX = 3
+# Permits count at the keeper from their issue on, so they may not be used
+# much later.
+PERMIT_TTL_S = 0.5
+# Limits that are found in this time are told to the members at once.
+TELL_DELAY_S = 0.05
+# An endpoint whose last response is older than this may no longer have its
+# limit. It gets a request even if other endpoints have none.
+RECHECK_S = 2.0
 
 
 class Purpose:
@@ -21,45 +55,104 @@
     ORDER = 'order'
 
 
+# Types of the questions that :meth:`RateLimits.answer` answers.
+QUESTIONS = (
+    questions.RequestPermit,
+    questions.TellLimits,
+    questions.ReadLimits,
+)
+_BULK_PURPOSES = (Purpose.ITEM, Purpose.REWARD)
+
+
+class EndpointLimit:
+    """The limit of an endpoint and the permits that this process has for it.
+
+    :ivar known: the :class:`~permits.KnownLimit`
+    :ivar unused: loop times at which unused permits expire, in seconds
+    :ivar reserved: the same of the permits of items that are about to start
+    :ivar asking: whether a permit for an item is being asked for
+    :ivar retry_at: loop time before which no permit for an item is expected
+    :ivar requests: number of requests since the last line, by purpose
+    """
+
+    __slots__ = (
+        'asking',
+        'known',
+        'requests',
+        'reserved',
+        'retry_at',
+        'unused',
+    )
+
+    def __init__(self, known):
+        self.known = known
+        self.unused = collections.deque()
+        self.reserved = collections.deque()
+        self.asking = False
+        self.retry_at = 0.0
+        self.requests = collections.Counter()
+
+
+def _has_valid(expiry_times, now):
+    """Drop the expired permits; return whether one is left."""
+    while expiry_times and expiry_times[0] < now:
+        expiry_times.popleft()
+    return bool(expiry_times)
+
+
 class RateLimits:
-    """Follows the limits of endpoints, and the requests sent meanwhile.
+    """Admits requests to endpoints within the limits that these name.
 
+    :param name: name of this process
+    :param issues: whether this process is a keeper, which issues permits
+    :param members: the :class:`~members.MemberRegistry`
+    :param directory: the :class:`~directory.Directory`
     :param read_reply: function from headers to
         :class:`~dialect.ReplyFacts`
     :param log: logger
     :ivar on_request: called with the :class:`Purpose` of each request
+    :ivar on_permit: called when an item may start at an endpoint with a limit
     """
 
     __slots__ = (
+        '_directory',
+        '_issuer',
+        '_issues',
         '_log',
         '_logged_at',
+        '_members',
+        '_name',
+        '_news',
+        '_peers',
+        '_ranked',
+        '_ranked_members',
         '_read_reply',
-        '_requests',
+        '_tasks',
+        'on_permit',
         'on_request',
     )
 
-    def __init__(self, read_reply, log):
-        self._read_reply = read_reply
+    def __init__(self, name, issues, members, directory, read_reply, log):
+        self._directory = directory
+        self._issuer = permits.PermitIssuer()
+        self._issues = issues
         self._log = log
         self._logged_at = 0.0
-        # Requests since the last line, by id of the endpoint and purpose.
-        self._requests = {}
+        self._members = members
+        self._name = name
+        # Limits that are about to be told to all members, by endpoint id.
+        self._news = {}
+        self._peers = peers.PeerClients(members, ASK_BACKOFF_S)
+        # Names of keepers by endpoint id, in the order of their rank, and
+        # the members that they were computed from.
+        self._ranked = {}
+        self._ranked_members = None
+        self._read_reply = read_reply
+        self._tasks = set()
+        self.on_permit = lambda: None
         self.on_request = lambda purpose: None
 
-    def count_limited(self):
-        """Return the number of endpoints that name a limit."""
-        return len(self._requests)
-
-    def count(self, state, purpose):
-        """Count a request.
-
-        :param state: the :class:`~directory.EndpointState`
-        :param purpose: one of :class:`Purpose`
-        """
-        self.on_request(purpose)
-        counts = self._requests.get(state.id)
-        if counts is not None:
-            counts[purpose] += 1
+    # Limits that endpoints name.
 
     def observe(self, state, response):
         """Read the limit that an endpoint names in a response.
@@ -67,44 +160,348 @@
         :param state: the :class:`~directory.EndpointState`
         :param response: the response's head
         """
-        facts = self._read_reply(tuple(response.headers.raw_items()))
-        if facts.rate_limit == state.rate_limit:
-            return
         if response.status_code == 421:
             # The response comes from another endpoint at the same address.
             return
+        facts = self._read_reply(tuple(response.headers.raw_items()))
+        now = asyncio.get_running_loop().time()
+        since = state.limit.known.since if state.limit is not None else now
+        known = permits.KnownLimit(facts.rate_limit, now, since)
+        if self._apply(state, known):
+            self._start(self._report(state.id, known))
+
+    def _apply(self, state, known):
+        """Apply a limit, or its end, unless a newer one is known.
+
+        :returns: whether the limit has changed
+        """
+        before = state.limit
+        rate_before = before.known.rate if before is not None else None
+        if before is None:
+            if known.rate is None:
+                return False
+            state.limit = EndpointLimit(known)
+        elif known.named_at < before.known.named_at:
+            return False
+        elif known.rate is None:
+            state.limit = None
+        else:
+            before.known = known
+        if known.rate == rate_before:
+            return False
         self._log.info(
             'limit changed',
             endpoint=state.id,
-            limit=facts.rate_limit,
-            before=state.rate_limit,
-            status=response.status_code,
-            signed=facts.signed,
-            requests=self._requests.pop(state.id, None),
+            limit=known.rate,
+            before=rate_before,
+            requests=dict(before.requests) if before is not None else None,
         )
-        state.rate_limit = facts.rate_limit
-        if facts.rate_limit is not None:
-            self._requests[state.id] = collections.Counter()
+        return True
 
-    def log_requests(self, known):
-        """Log the requests sent to endpoints with a limit, now and then.
+    def count(self, state, purpose):
+        """Count a request.
 
-        :param known: dict of the endpoints that are in use, by id
+        :param state: the :class:`~directory.EndpointState`
+        :param purpose: one of :class:`Purpose`
         """
+        self.on_request(purpose)
+        if state.limit is not None:
+            state.limit.requests[purpose] += 1
+
+    def list_limited(self):
+        """Return the endpoints that name a limit."""
+        limited = []
+        for state in self._directory.endpoints.values():
+            if state.limit is not None:
+                limited.append(state)
+        return limited
+
+    def log_requests(self):
+        """Log the requests sent to endpoints with a limit, now and then."""
         now = asyncio.get_running_loop().time()
         if now - self._logged_at < LOG_INTERVAL_S:
             return
         self._logged_at = now
-        for endpoint_id, counts in list(self._requests.items()):
-            state = known.get(endpoint_id)
-            if state is None:
-                del self._requests[endpoint_id]
+        for state in self.list_limited():
+            limit = state.limit
+            if not limit.requests:
+                continue
+            self._log.info(
+                'requests to limited endpoint',
+                endpoint=state.id,
+                limit=limit.known.rate,
+                requests=dict(limit.requests),
+            )
+            limit.requests.clear()
+
+    # Permits.
+
+    async def admit(self, state, purpose, wait_s):
+        """Wait for a permit to send a request.
+
+        :param state: the :class:`~directory.EndpointState`
+        :param purpose: one of :class:`Purpose`
+        :param wait_s: longest wait for the permit, in seconds
+        :raises errors.LimitReached: if there is no permit in time
+        """
+        limit = state.limit
+        if limit is None:
+            return
+        if purpose == Purpose.PROBE:
+            raise errors.LimitReached(
+                f'endpoint {state.id} has a limit and gets no probes', 0.0
+            )
+        now = asyncio.get_running_loop().time()
+        if purpose == Purpose.ITEM and _has_valid(limit.reserved, now):
+            limit.reserved.popleft()
+            return
+        permit = await self._ask(state, wait_s, purpose in _BULK_PURPOSES)
+        if not permit.granted:
+            raise errors.LimitReached(
+                f'endpoint {state.id} takes {limit.known.rate} requests a '
+                f'second; the next one in {permit.delay_s:.2f} s',
+                permit.delay_s,
+            )
+        if permit.delay_s:
+            await asyncio.sleep(permit.delay_s)
+
+    def may_start(self, state):
+        """Return whether an item may start at an endpoint now.
+
+        If there is no permit, one is asked for, and :attr:`on_permit` called
+        once there is.
+
+        :param state: the :class:`~directory.EndpointState`
+        """
+        limit = state.limit
+        if limit is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        if _has_valid(limit.unused, now):
+            return True
+        if limit.asking or now < limit.retry_at:
+            return False
+        if self._is_only_issuer(state.id, now):
+            self._keep(limit, self._issue(state, 0.0, True))
+            return bool(limit.unused)
+        limit.asking = True
+        self._start(self._fetch(state, limit))
+        return False
+
+    def reserve(self, state):
+        """Reserve a permit for an item, if :meth:`may_start` returned true."""
+        limit = state.limit
+        if limit is not None and limit.unused:
+            limit.reserved.append(limit.unused.popleft())
+
+    async def _fetch(self, state, limit):
+        try:
+            permit = await self._ask(state, 0.0, True)
+        finally:
+            limit.asking = False
+        self._keep(limit, permit)
+        if permit.granted:
+            self.on_permit()
+
+    def _keep(self, limit, permit):
+        now = asyncio.get_running_loop().time()
+        if permit.granted:
+            limit.unused.append(now + PERMIT_TTL_S)
+        else:
+            limit.retry_at = now + permit.delay_s
+
+    def _list_issuers(self, endpoint_id):
+        """Return the names of keepers, the issuer of an endpoint first."""
+        if self._ranked_members is not self._members.addresses:
+            self._ranked_members = self._members.addresses
+            self._ranked.clear()
+        ranked = self._ranked.get(endpoint_id)
+        if ranked is None:
+            names = set(self._members.keepers)
+            if self._issues:
+                names.add(self._name)
+            ranked = rendezvous.rank(endpoint_id, names)[:ISSUERS_MAX]
+            self._ranked[endpoint_id] = ranked
+        return ranked
+
+    async def _ask(self, state, wait_s, bulk):
+        """Ask the issuer of an endpoint for a permit.
+
+        :returns: a :class:`~permits.Permit`
+        """
+        limit = state.limit
+        now = asyncio.get_running_loop().time()
+        question = questions.RequestPermit(
+            state.id, _encode_limit(limit.known, now), wait_s, bulk
+        )
+        for name in self._list_issuers(state.id):
+            if name == self._name:
+                answer = await self._answer_request(question)
+            else:
+                answer = await self._ask_member(name, question)
+            if not isinstance(answer, questions.PermitAnswer):
+                continue
+            now = asyncio.get_running_loop().time()
+            self._apply(state, _decode_limit(answer.limit, now))
+            return permits.Permit(answer.granted, answer.delay_s)
+        # Without any keeper, each process uses an equal part of the limit.
+        processes = len(self._members.addresses) + 1
+        return self._issue(state, wait_s, bulk, processes)
+
+    def _issue(self, state, wait_s, bulk, processes=1):
+        if state.limit is None:
+            return permits.Permit(True, 0.0)
+        now = asyncio.get_running_loop().time()
+        self._note(state.id, state.limit.known, now)
+        permit, known = self._issuer.issue(
+            state.id, state.limit.known, now, wait_s, bulk, processes
+        )
+        self._apply(state, known)
+        return permit
+
+    def _is_only_issuer(self, endpoint_id, now):
+        """Return whether this process issues an endpoint's permits alone."""
+        if self._list_issuers(endpoint_id)[:1] != [self._name]:
+            return False
+        return not self._issuer.is_taking_over(endpoint_id, now)
+
+    async def _answer_request(self, question):
+        """Issue a permit, or pass the request on to an earlier issuer.
+
+        :param question: a :class:`~questions.RequestPermit`
+        :returns: a :class:`~questions.PermitAnswer`
+        """
+        endpoint_id = question.endpoint_id
+        now = asyncio.get_running_loop().time()
+        known = _decode_limit(question.limit, now)
+        self._note(endpoint_id, known, now)
+        passed_on = question.passed_on
+        if not passed_on and not self._is_only_issuer(endpoint_id, now):
+            answer = await self._pass_on(question)
+            if isinstance(answer, questions.PermitAnswer):
+                return answer
+        now = asyncio.get_running_loop().time()
+        permit, known = self._issuer.issue(
+            endpoint_id, known, now, question.wait_s, question.bulk
+        )
+        return questions.PermitAnswer(
+            permit.granted, permit.delay_s, _encode_limit(known, now)
+        )
+
+    async def _pass_on(self, question):
+        for name in self._list_issuers(question.endpoint_id):
+            if name == self._name:
                 continue
-            if counts:
-                self._log.info(
-                    'requests to limited endpoint',
-                    endpoint=endpoint_id,
-                    limit=state.rate_limit,
-                    requests=dict(counts),
-                )
-                counts.clear()
+            passed_on = msgspec.structs.replace(question, passed_on=True)
+            return await self._ask_member(name, passed_on, PASS_ON_TIMEOUT_S)
+        return None
+
+    async def _ask_member(self, name, question, timeout_s=ASK_TIMEOUT_S):
+        """Return the answer of another member, or None if it does not answer.
+
+        A member that did not answer lately is not asked.
+        """
+        if not self._peers.may_ask(name):
+            return None
+        try:
+            return await self._peers.ask(name, question, timeout_s)
+        except errors.ConnectionLost as error:
+            self._log.info(
+                'member did not answer about limits',
+                member=name,
+                reason=str(error),
+            )
+            return None
+
+    # Telling other processes.
+
+    async def gather(self):
+        """Ask all keepers for the limits that they divide."""
+        names = sorted(self._members.keepers)
+        answers = await asyncio.gather(
+            *(self._ask_member(name, questions.ReadLimits()) for name in names)
+        )
+        for answer in answers:
+            if isinstance(answer, questions.LimitsAnswer):
+                self._learn(answer.limits)
+
+    async def _report(self, endpoint_id, known):
+        """Tell a limit or its end to the issuer of the endpoint."""
+        for name in self._list_issuers(endpoint_id):
+            now = asyncio.get_running_loop().time()
+            if name == self._name:
+                self._note(endpoint_id, known, now)
+                return
+            limits = {endpoint_id: _encode_limit(known, now)}
+            answer = await self._ask_member(name, questions.TellLimits(limits))
+            if answer is not None:
+                return
+
+    def _note(self, endpoint_id, known, now):
+        """Note a limit as the issuer, and tell it to all members if new."""
+        if not self._issuer.note(endpoint_id, known, now):
+            return
+        if not self._issues:
+            return
+        if not self._news:
+            self._start(self._tell_news())
+        self._news[endpoint_id] = known
+
+    async def _tell_news(self):
+        await asyncio.sleep(TELL_DELAY_S)
+        news, self._news = self._news, {}
+        now = asyncio.get_running_loop().time()
+        limits = {}
+        for endpoint_id, known in news.items():
+            limits[endpoint_id] = _encode_limit(known, now)
+        question = questions.TellLimits(limits)
+        await asyncio.gather(
+            *(
+                self._ask_member(name, question)
+                for name in self._members.addresses
+            )
+        )
+
+    def _learn(self, limits):
+        now = asyncio.get_running_loop().time()
+        for endpoint_id, stated in limits.items():
+            known = _decode_limit(stated, now)
+            state = self._directory.endpoints.get(endpoint_id)
+            if state is not None:
+                self._apply(state, known)
+            if self._list_issuers(endpoint_id)[:1] == [self._name]:
+                self._note(endpoint_id, known, now)
+
+    async def answer(self, question):
+        """Answer another process.
+
+        :param question: one of ``QUESTIONS``
+        """
+        if isinstance(question, questions.RequestPermit):
+            return await self._answer_request(question)
+        if isinstance(question, questions.TellLimits):
+            self._learn(question.limits)
+            return questions.Acknowledged()
+        now = asyncio.get_running_loop().time()
+        limits = {}
+        for endpoint_id, known in self._issuer.list_limits().items():
+            limits[endpoint_id] = _encode_limit(known, now)
+        return questions.LimitsAnswer(limits)
+
+    def _start(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _encode_limit(known, now):
+    """Encode a limit with durations, since processes compare no clocks."""
+    return questions.StatedLimit(
+        known.rate, now - known.named_at, now - known.since
+    )
+
+
+def _decode_limit(stated, now):
+    return permits.KnownLimit(
+        stated.rate, now - stated.age_s, now - stated.lasted_s
+    )
--- a/src/clementineline/coordination/scoring.py
+++ b/src/clementineline/coordination/scoring.py
@@ -24,6 +24,7 @@
 # An attempt and one hedge. The scorer itself repeats calls that failed.
 ATTEMPTS_PER_CALL = 2
 RETRY_DELAY_S = 0.1
+RETRY_DELAY_MAX_S = 1.0
 # A call that waits for a slot, an endpoint or its route looks again after this
 # time, or at the end of another call.
 WAIT_CHECK_S = 0.2
@@ -50,6 +51,12 @@
     return count
 
 
+def _get_retry_delay(verdict):
+    if not isinstance(verdict, verdicts.NotRun):
+        return RETRY_DELAY_S
+    return min(max(RETRY_DELAY_S, verdict.retry_after_s), RETRY_DELAY_MAX_S)
+
+
 class RewardScorer:
     """Makes reward calls until they are answered.
 
@@ -134,7 +141,7 @@
                     f'failed {failures} times'
                 )
             if not failed:
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(_get_retry_delay(verdict))
 
     def _find_route(self, reward_call):
         table = self._get_routes()
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -29,14 +29,17 @@
     :param last_event: number of the last event that the caller has
     :ivar head_sent: whether the head of the response was sent to the caller
     :ivar tried: ids of the endpoints that the request was sent to
+    :ivar refused: ids of the endpoints that it was not sent to, because of
+        their limits
     """
 
-    __slots__ = ('head_sent', 'last_event', 'tried')
+    __slots__ = ('head_sent', 'last_event', 'refused', 'tried')
 
     def __init__(self, last_event):
         self.head_sent = False
         self.last_event = last_event
         self.tried = []
+        self.refused = []
 
 
 class StreamForwarder:
@@ -69,13 +72,14 @@
         """
         service = forwarding.choose_service(route.targets, random.random())
         stream = _Stream(facts.last_event)
-        last = verdicts.NotRun(
-            'no endpoint is known', forwarding.RETRY_AFTER_S
-        )
-        while len(stream.tried) < route.attempts_max:
+        last = None
+        while (
+            len(stream.tried) < route.attempts_max
+            and len(stream.refused) < forwarding.LIMIT_REFUSALS_MAX
+        ):
             state = forwarding.choose_endpoint(
                 self._directory.list_usable(service),
-                stream.tried,
+                [*stream.tried, *stream.refused],
                 self._zone,
                 asyncio.get_running_loop().time(),
             )
@@ -87,17 +91,19 @@
             )
             if isinstance(verdict, verdicts.Answered):
                 return verdict
-            if isinstance(verdict, verdicts.MayHaveRun):
-                last = verdict
-                if not route.resumable:
-                    break
-            elif not isinstance(last, verdicts.MayHaveRun):
-                last = verdict
+            last = forwarding.choose_verdict(last, verdict)
+            if (
+                isinstance(verdict, verdicts.MayHaveRun)
+                and not route.resumable
+            ):
+                break
             if asyncio.get_running_loop().time() >= deadline:
                 break
         if stream.head_sent:
             incoming.abort()
-        return last
+        return last or verdicts.NotRun(
+            'no endpoint is known', forwarding.RETRY_AFTER_S
+        )
 
     async def _attempt(self, route, state, stream, incoming, deadline):
         loop = asyncio.get_running_loop()
@@ -105,11 +111,17 @@
         first = stream.last_event
         state.in_flight += 1
         verdict = None
+        sent = True
         try:
             async with asyncio.timeout_at(deadline):
                 verdict = await self._exchange(
                     route, state, stream, incoming, deadline
                 )
+        except errors.LimitReached as error:
+            sent = False
+            stream.tried.remove(state.id)
+            stream.refused.append(state.id)
+            verdict = verdicts.NotRun(str(error), error.retry_after_s)
         except TimeoutError:
             verdict = verdicts.MayHaveRun('time limit')
         finally:
@@ -130,14 +142,18 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
-        else:
+        elif sent:
             state.record_failure(loop.time())
         return verdict
 
     async def _exchange(self, route, state, stream, incoming, deadline):
         loop = asyncio.get_running_loop()
         try:
-            client = await self._pool.acquire(state, ratelimits.Purpose.STREAM)
+            client = await self._pool.acquire(
+                state,
+                ratelimits.Purpose.STREAM,
+                route.aim_s * forwarding.PERMIT_WAIT_SHARE,
+            )
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
         complete = False
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -55,6 +55,7 @@
     :param cache: the :class:`~texts.TextCache`
     :param replicator: the :class:`~texts.TextReplicator`
     :param scorer: the :class:`~scoring.RewardScorer`
+    :param limits: the :class:`~ratelimits.RateLimits`
     :param list_assigned: function from a service and a model to the engines
         assigned to the model, or None if all engines of the service are used
     :ivar open_submissions: dict from submission id to its
@@ -72,6 +73,7 @@
         '_directory',
         '_get_routes',
         '_ledger',
+        '_limits',
         '_list_assigned',
         '_log',
         '_may_lead',
@@ -104,6 +106,7 @@
         cache,
         replicator,
         scorer,
+        limits,
         list_assigned,
     ):
         self._ledger = submission_ledger
@@ -116,6 +119,7 @@
         self._cache = cache
         self._replicator = replicator
         self._scorer = scorer
+        self._limits = limits
         self._list_assigned = list_assigned
         self.on_submission = lambda submission: None
         self.on_run_end = lambda end, took_s: None
@@ -420,7 +424,7 @@
             target.item_runs.discard(run)
         if self._stopped or entry.ended or run.item.id not in entry.runs:
             return
-        if target is None:
+        if target is None or target.limit is not None:
             entry.waiting.append(run)
             self.wake()
             return
@@ -440,7 +444,12 @@
             # No engine still holds the version that generated the text.
             run.forget_text()
             engines = self._list_engines(submission, run.item.id)
-        criteria = (submission.model, submission.version_min, now)
+        criteria = (
+            submission.model,
+            submission.version_min,
+            now,
+            self._limits,
+        )
 
         def fits(state):
             return self._has_memory(state, run)
@@ -522,6 +531,8 @@
         elif end is run_ends.NOT_RUN:
             run.not_before = now + REFUSED_RETRY_DELAY_S
             run.avoid.add(state.id)
+        elif end is run_ends.LIMITED:
+            run.not_before = now + REFUSED_RETRY_DELAY_S
         elif end in (run_ends.UNREACHED, run_ends.BROKEN):
             state.record_failure(now)
             run.not_before = now + BROKEN_RETRY_DELAY_S
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -20,6 +20,11 @@
 CHECK_INTERVAL_S = 0.25
 CALL_TIMEOUT_S = 0.8
 REPORT_INTERVAL_S = 0.2
+# The reports of an engine with a limit take the place of items.
+LIMITED_REPORT_INTERVAL_S = 0.6
+LIMITED_LOAD_MIN_S = 1.1
+# Longest wait for the permit that an engine with a limit requires.
+PERMIT_WAIT_S = 2.0
 # No load takes less, so the engine is not asked before.
 LOAD_MIN_S = 0.8
 ORDER_RETRY_S = 0.3
@@ -65,6 +70,7 @@
         '_get_routes',
         '_holder',
         '_item_counts',
+        '_latest_reports',
         '_lease',
         '_log',
         '_on_change',
@@ -105,6 +111,8 @@
         # Usable engines by id, and the directory's change count, by service.
         self._engines = {}
         self._item_counts = {}
+        # Reports of engines that held the target version, by engine id.
+        self._latest_reports = {}
         self._staleness_samples = {}
         self._dialect = dialect
         self._directory = directory
@@ -328,7 +336,12 @@
                 try:
                     if await self._advance(state, model, version):
                         return
-                except (errors.ProtocolError, TimeoutError) as error:
+                except (
+                    errors.LimitReached,
+                    errors.NotReady,
+                    errors.ProtocolError,
+                    TimeoutError,
+                ) as error:
                     self._log.info(
                         'order not answered',
                         endpoint=state.id,
@@ -349,10 +362,11 @@
         :returns: whether the update has ended: the engine holds the version,
             or its address belongs to another endpoint
         """
-        report = await self._read_report(state)
+        report = await self._get_report(state)
         held = report.versions.get(model, 0)
         state.versions[model] = held
         if held >= version:
+            self._latest_reports[state.id] = report
             self._log.info(
                 'version loaded',
                 endpoint=state.id,
@@ -361,10 +375,8 @@
             )
             return True
         if report.changing or self._predates_order(state, report):
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await self._wait_for_report(state)
             return False
-        if not self._lease.holds():
-            raise errors.ProtocolError('the lease is not held')
         state.loading_models.add(model)
         order = dialects.EngineOrder(
             state.id,
@@ -376,7 +388,6 @@
             not self._requires_single_version(model),
         )
         head, body = self._dialect.build_order_call(order, state.record)
-        self.last_order_at = asyncio.get_running_loop().time()
         status, _ = await self._call(
             state, ratelimits.Purpose.ORDER, head, body
         )
@@ -398,11 +409,19 @@
         if outcome is dialects.OrderOutcome.ACCEPTED:
             now = asyncio.get_running_loop().time()
             self._accepted_orders[state.id] = (order.orders_accepted, now)
-            await asyncio.sleep(LOAD_MIN_S)
+            await asyncio.sleep(
+                LOAD_MIN_S if state.limit is None else LIMITED_LOAD_MIN_S
+            )
             return False
-        await asyncio.sleep(REPORT_INTERVAL_S)
+        await self._wait_for_report(state)
         return False
 
+    async def _wait_for_report(self, state):
+        interval_s = REPORT_INTERVAL_S
+        if state.limit is not None:
+            interval_s = LIMITED_REPORT_INTERVAL_S
+        await asyncio.sleep(interval_s)
+
     def _predates_order(self, state, report):
         """Return whether a report may predate the last accepted order."""
         accepted = self._accepted_orders.get(state.id)
@@ -415,6 +434,18 @@
             asyncio.get_running_loop().time() - accepted_at < ORDER_VISIBLE_S
         )
 
+    async def _get_report(self, state):
+        """Return the engine's report.
+
+        An engine with a limit is not asked for its first report of an update
+        if the last update ended with one: the order names the number of
+        orders that it expects, so the engine refuses it if that has changed.
+        """
+        latest = self._latest_reports.pop(state.id, None)
+        if latest is not None and state.limit is not None:
+            return latest
+        return await self._read_report(state)
+
     async def _read_report(self, state):
         head = self._dialect.build_report_call(state.record)
         status, body = await self._call(
@@ -425,8 +456,14 @@
         return self._dialect.decode_report(body)
 
     async def _call(self, state, purpose, head, body):
+        client = await self._pool.acquire(state, purpose, PERMIT_WAIT_S)
+        if purpose == ratelimits.Purpose.ORDER:
+            if not self._lease.holds():
+                client.close()
+                raise errors.NotReady('the lease is not held')
+            self.last_order_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(CALL_TIMEOUT_S):
             reply, answer = await self._pool.exchange(
-                state, purpose, head, body
+                state, client, head, body
             )
         return reply.status_code, answer
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -20,6 +20,7 @@
 __all__ = ['BaseProcess']
 
 CLEANUP_INTERVAL_S = 1.0
+GATHER_CHECK_INTERVAL_S = 0.1
 
 
 class BaseProcess:
@@ -67,8 +68,6 @@
             wait_s=route_intervals.wait_s,
             check_interval_s=route_intervals.check_interval_s,
         )
-        self._limits = ratelimits.RateLimits(dialect.read_reply, log)
-        self._pool = connections.ConnectionPool(self._limits)
         self._ledger = ledger.Ledger(store, settings.value_bytes)
         self._members = members.MemberRegistry(
             settings.name,
@@ -78,6 +77,15 @@
             log,
             zone=settings.zone,
         )
+        self._limits = ratelimits.RateLimits(
+            settings.name,
+            self.MAY_OWN_SUBMISSIONS,
+            self._members,
+            self._directory,
+            dialect.read_reply,
+            log,
+        )
+        self._pool = connections.ConnectionPool(self._limits)
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
@@ -102,6 +110,7 @@
         self._tasks.supervise(self._endpoint_watcher.run, 'endpoints')
         self._tasks.supervise(self._clean_up, 'cleanup')
         self._tasks.supervise(self._members.run, 'members')
+        self._tasks.start(self._gather_limits(), 'limits')
         self._tasks.start(
             self.metrics.serve(self._settings.metrics, self._log), 'metrics'
         )
@@ -123,7 +132,8 @@
         process_metrics.set('store_calls', self._store.calls)
         process_metrics.set('store_reachable', int(self._store.reachable))
         process_metrics.set('endpoints', len(self._directory.endpoints))
-        process_metrics.set('endpoints_limited', self._limits.count_limited())
+        limited = self._limits.list_limited()
+        process_metrics.set('endpoints_limited', len(limited))
 
     def _count_endpoint_request(self, purpose):
         self.metrics.count('endpoint_requests_total', purpose=purpose)
@@ -147,7 +157,13 @@
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self._directory.remove_expired()
             self._pool.close_idle(self._directory.endpoints)
-            self._limits.log_requests(self._directory.endpoints)
+            self._limits.log_requests()
+
+    async def _gather_limits(self):
+        """Learn the limits of endpoints that others know at the start."""
+        while not self._members.keepers or not self._directory.endpoints:
+            await asyncio.sleep(GATHER_CHECK_INTERVAL_S)
+        await self._limits.gather()
 
     async def _serve_peer(self, stream):
         await asking.serve_questions(
@@ -158,8 +174,13 @@
         """Answer a question from another process."""
         if isinstance(question, questions.RelayCall):
             return await members.answer_relay(self._store, question)
+        if isinstance(question, ratelimits.QUESTIONS):
+            return await self._answer_about_limits(question)
         return await self._answer(question)
 
+    async def _answer_about_limits(self, question):
+        return await self._limits.answer(question)
+
     async def _answer(self, question):
         """Answer a question about submissions or texts.
 
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -186,6 +186,7 @@
             self._text_cache,
             self._text_replicator,
             self._scorer,
+            self._limits,
             self._list_assigned,
         )
         version_updater = versions.VersionUpdater(
@@ -214,6 +215,7 @@
         )
         owner.on_submission = version_updater.note_submission
         owner.on_run_end = self._count_run
+        self._limits.on_permit = owner.wake
         owner.writer.on_recorded = self._count_recorded
         version_updater.on_outcome = self._count_order
         self._owner = owner
@@ -254,6 +256,7 @@
         if owner is None:
             return
         self._version_updater = None
+        self._limits.on_permit = lambda: None
         for task in self._leader_tasks:
             task.cancel()
         await owner.stop()
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -9,6 +9,7 @@
     'FrameTooLarge',
     'HistoryGone',
     'IntentError',
+    'LimitReached',
     'LostStep',
     'MalformedFrame',
     'NotReady',
@@ -104,6 +105,18 @@
     """Every allowed reward call of an item failed at its endpoint."""
 
 
+class LimitReached(ClementinelineError):
+    """A request was not sent, because of the limit that an endpoint names.
+
+    :param message: the endpoint and its limit
+    :param retry_after_s: time until the next request may be sent, in seconds
+    """
+
+    def __init__(self, message, retry_after_s):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
 class RequestError(ClementinelineError):
     """A caller's request is malformed.
 
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -1,5 +1,6 @@
 """Questions that the processes ask each other, and the answers.
 
+Processes ask keepers for permits to send requests to endpoints with a limit.
 Gateways ask the leader about submissions, the leader copies the texts of
 unfinished items to other keepers, and a process that cannot reach the
 platform's store asks another process to make its calls.
@@ -14,16 +15,22 @@
     'Answer',
     'BodyAnswer',
     'KeepTexts',
+    'LimitsAnswer',
     'NotLeading',
     'PageAnswer',
+    'PermitAnswer',
     'Question',
     'ReadBody',
+    'ReadLimits',
     'ReadResults',
     'ReadTexts',
     'RelayAnswer',
     'RelayCall',
     'RelayFailed',
+    'RequestPermit',
+    'StatedLimit',
     'SubmissionEnded',
+    'TellLimits',
     'TextPart',
     'TextsAnswer',
     'UnknownSubmission',
@@ -85,7 +92,7 @@
 
 
 class Acknowledged(msgspec.Struct, frozen=True, tag='noted'):
-    """The leader has handled a :class:`SubmissionEnded`."""
+    """A :class:`SubmissionEnded` or :class:`TellLimits` was handled."""
 
 
 class RelayCall(msgspec.Struct, frozen=True, tag='relay'):
@@ -157,6 +164,64 @@
     parts: list[TextPart]
 
 
+class StatedLimit(msgspec.Struct, frozen=True):
+    """A limit of requests a second that an endpoint names.
+
+    :param rate: requests a second, None for no limit
+    :param age_s: age of the last response that shows it, in seconds
+    :param lasted_s: how long the endpoint has had a limit, in seconds
+    """
+
+    rate: float | None
+    age_s: float
+    lasted_s: float
+
+
+class RequestPermit(msgspec.Struct, frozen=True, tag='permit'):
+    """Asks a keeper for a permit to send a request to an endpoint.
+
+    :param wait_s: how long the request may wait for the permit, in seconds
+    :param bulk: whether the request is an item or a reward call
+    :param passed_on: whether the question comes from another keeper, which
+        was asked first
+    """
+
+    endpoint_id: str
+    limit: StatedLimit
+    wait_s: float
+    bulk: bool
+    passed_on: bool = False
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, tag='permitted'):
+    """A permit, or its refusal.
+
+    :param delay_s: time until the permit may be used, or until another one
+        is expected, in seconds
+    :param limit: the newest limit of the endpoint that the keeper knows
+    """
+
+    granted: bool
+    delay_s: float
+    limit: StatedLimit
+
+
+class TellLimits(msgspec.Struct, frozen=True, tag='tell_limits'):
+    """Tells limits, or their end, by endpoint id."""
+
+    limits: dict[str, StatedLimit]
+
+
+class ReadLimits(msgspec.Struct, frozen=True, tag='read_limits'):
+    """Asks a keeper for the limits that it divides."""
+
+
+class LimitsAnswer(msgspec.Struct, frozen=True, tag='limits'):
+    """The limits that a keeper divides, by endpoint id."""
+
+    limits: dict[str, StatedLimit]
+
+
 Question = (
     ReadResults
     | ReadBody
@@ -164,6 +229,9 @@
     | RelayCall
     | KeepTexts
     | ReadTexts
+    | RequestPermit
+    | TellLimits
+    | ReadLimits
 )
 Answer = (
     NotLeading
@@ -174,4 +242,6 @@
     | RelayAnswer
     | RelayFailed
     | TextsAnswer
+    | PermitAnswer
+    | LimitsAnswer
 )
