Relay only events of a stream, each after the one before it

Callers saw: after a stream had begun and broken off, the text of an error of the engine that resumed it, or the head and body of its next response, in the middle of their stream, which then ended as if complete; or a gap between two events. Cause: blocks without a number were relayed as they came, a number only had to be larger than the last, and a body that ends with its connection counted as complete even without any event. Change: a block that is neither an event nor a comment ends the attempt, as does a number that does not follow on resumable routes; a body that ends with its connection before its first event is incomplete.

--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -42,6 +42,20 @@
         self.refused = []
 
 
+def _find_fault(stream, number, raw, consecutive):
+    """Return why an event may not follow the last one, or ''."""
+    last = stream.last_event
+    if number is None:
+        if last or b'data' not in {
+            line.partition(b':')[0] for line in raw.splitlines()
+        }:
+            return f'no event after {last}: {raw[:80]!r}'
+        return ''
+    if number <= last or (consecutive and number != last + 1):
+        return f'event {number} after {last}'
+    return ''
+
+
 class StreamForwarder:
     """Forwards live streams from endpoints to callers.
 
@@ -183,7 +197,9 @@
                 incoming.start_response(
                     200, http.strip_connection_headers(headers)
                 )
-            verdict = await self._relay(stream, incoming, client, gap_s)
+            verdict = await self._relay(
+                stream, incoming, client, gap_s, route.resumable
+            )
             complete = isinstance(verdict, verdicts.Answered)
             return verdict
         except (errors.ProtocolError, TimeoutError) as error:
@@ -209,13 +225,19 @@
             return verdicts.MayHaveRun(f'no stream: status {status}')
         return verdicts.Answered(status, headers, body)
 
-    async def _relay(self, stream, incoming, client, gap_s):
+    async def _relay(self, stream, incoming, client, gap_s, consecutive):
         """Relay complete events; hold back an event until it is complete.
 
+        Bytes that are no event end the attempt: they may be another response
+        on a connection whose end is the only end of the body.
+
         :param gap_s: longest gap between events in seconds, or None; bytes
             that complete no event do not count
+        :param consecutive: whether each event has the number after that of
+            the event before it
         :returns: a verdict
         """
+        relayed = 0
         loop = asyncio.get_running_loop()
         splitter = events.EventSplitter()
         event_at = loop.time()
@@ -228,16 +250,19 @@
             for number, raw in splitter.feed(data):
                 if not raw.strip():
                     continue
+                if not events.is_comment(raw):
+                    reason = _find_fault(stream, number, raw, consecutive)
+                    if reason:
+                        return verdicts.MayHaveRun(reason)
+                    relayed += 1
                 if number is not None:
-                    if number <= stream.last_event:
-                        return verdicts.MayHaveRun(
-                            f'event {number} after {stream.last_event}'
-                        )
                     stream.last_event = number
                     event_at = loop.time()
                 incoming.send(raw)
             await incoming.drain()
         if splitter.has_partial:
             return verdicts.MayHaveRun('stream ended within an event')
+        if not relayed and client.ends_with_connection:
+            return verdicts.MayHaveRun('connection ended before an event')
         incoming.finish()
         return verdicts.Answered(200, (), b'')
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -253,6 +253,9 @@
       take no effect
     - ``endless``: bytes that are sent again and again instead of a response
       of a plain service or an engine, until the caller closes
+    - ``raw_answer``: bytes sent instead of a response, after which the
+      connection is closed; ``%s`` stands for the request's id
+    - ``raw_resumption``: the same for requests that resume a stream
     - ``slowness``: reported factor by which work takes longer than usual
     - ``rate_limit``: requests a second that each response names as limit;
       None for no limit
@@ -283,6 +286,8 @@
         self.delay_s = 0.0
         self.trailing_bytes = b''
         self.accepted = 0
+        self.raw_answer = b''
+        self.raw_resumption = b''
         self.slowness = 1.0
         self.rate_limit = None
         self.arrivals = []
@@ -354,6 +359,14 @@
         if self.endless:
             await self._send_without_end(incoming, request_id)
             return
+        raw = self.raw_answer
+        if 'last-event-id' in headers:
+            raw = raw or self.raw_resumption
+        if raw:
+            incoming.response_started = True
+            incoming._channel.send(raw.replace(b'%s', request_id.encode()))
+            incoming._channel.close()
+            return
         if self.lose_answers:
             self.lose_answers -= 1
             await asyncio.sleep(60)
--- a/src/clementineline/platform/tests/test_streams.py
+++ b/src/clementineline/platform/tests/test_streams.py
@@ -140,6 +140,71 @@
         assert len(streams.list_runs()) == 1
 
 
+HEAD = (
+    b'HTTP/1.1 %d Status\r\nRequest-Id: %%s\r\nServer-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\n'
+)
+UNFRAMED = HEAD % 200 + b'\r\n'
+ERROR_TEXT = b'error: the engine has failed'
+BODY = b'Content-Length: %d\r\n\r\n' % len(ERROR_TEXT) + ERROR_TEXT
+
+
+class TestFailedResumption:
+    """A stream broke off, and the engine that resumes it fails.
+
+    Nothing of its error may reach the caller, and the stream must not look
+    complete.
+    """
+
+    @pytest.mark.parametrize(
+        'raw',
+        [
+            HEAD % 500 + BODY,
+            HEAD % 422 + BODY,
+            HEAD % 503 + b'Not-Executed: 1\r\n' + BODY,
+            HEAD % 503 + BODY,
+            b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n' + BODY,
+            b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n' + BODY,
+            UNFRAMED + ERROR_TEXT,
+            UNFRAMED + ERROR_TEXT + b'\n\n',
+            UNFRAMED + b'data: ' + ERROR_TEXT + b'\n\n',
+            UNFRAMED + b'event: error\ndata: ' + ERROR_TEXT + b'\n\n',
+            UNFRAMED + HEAD % 500 + BODY + b'\r\n\r\n',
+            UNFRAMED + b'id: 2\ndata: ' + ERROR_TEXT + b'\n\n',
+            UNFRAMED + b'id: 4\ndata: ' + ERROR_TEXT + b'\n\n',
+            UNFRAMED,
+            HEAD % 200,
+            b'',
+        ],
+    )
+    async def test_error_stays_out_of_the_stream(self, streams, raw):
+        await streams.add_route(resumable=True)
+        for engine in streams.engines:
+            engine.events = 5
+            engine.break_after = 2
+            engine.raw_resumption = raw or b' '
+        client = await streams.open()
+        received = b''
+        with pytest.raises(errors.ProtocolError):
+            await client.receive_head()
+            while data := await client.receive_data():
+                received += data
+            pytest.fail(f'the stream ended as if complete: {received!r}')
+        assert received == b'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n'
+
+    async def test_error_after_further_events_ends_the_stream(self, streams):
+        await streams.add_route(resumable=True)
+        for engine in streams.engines:
+            engine.events = 5
+            engine.break_after = 2
+            engine.raw_resumption = (
+                UNFRAMED + b'id: 3\ndata: e3\n\n' + HEAD % 500 + BODY
+            )
+        client = await streams.open()
+        with pytest.raises(errors.ProtocolError):
+            await streams.read(client)
+
+
 class TestEndlessBytes:
     """An engine in trouble sends bytes without end instead of events."""
 
--- a/src/clementineline/transport/events.py
+++ b/src/clementineline/transport/events.py
@@ -5,7 +5,7 @@
 
 from clementineline import errors
 
-__all__ = ['Event', 'EventReader', 'EventSplitter']
+__all__ = ['Event', 'EventReader', 'EventSplitter', 'is_comment']
 
 
 # Far above the few kilobytes of real events. An endpoint in trouble may send
@@ -98,6 +98,12 @@
         return found
 
 
+def is_comment(raw):
+    """Return whether an event has no fields, only comments or blank lines."""
+    lines = raw.splitlines()
+    return all(not line.strip() or line.startswith(b':') for line in lines)
+
+
 def _find_number(raw):
     for line in raw.splitlines():
         name, _, value = line.partition(b':')
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -49,6 +49,15 @@
             and not self._channel.has_unsent
         )
 
+    @property
+    def ends_with_connection(self):
+        """Whether only the end of the connection ends the response's body.
+
+        Such a body may lack its end without a sign of it.
+        """
+        names = {key.lower() for key, _ in self.response.headers}
+        return not names & {b'content-length', b'transfer-encoding'}
+
     def send_request(self, head, body):
         """Send a complete request.
 
