Complete no item by a connection that ends before an event

Trainers saw: an item listed as completed with a part of its text, if the engine that resumed it stopped after its head and closed. Cause: a body without a length ends with its connection; a run that got no event from it was taken for complete. Evidence: TestCutItems lists e1, e2 of three events before the change. Plain calls and cut heads hold: TestCutHeads cuts a head after each of its bytes and passes before the change too. Change: such a run is broken and the item runs again.

--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -225,5 +225,7 @@
             run.last_event_at = now
     if reader.has_partial:
         return RunEnd.BROKEN, 'stream ended within an event'
+    if previous_at is None and client.ends_with_connection:
+        return RunEnd.BROKEN, 'connection ended before an event'
     run.whole = True
     return RunEnd.COMPLETED, ''
