Refuse what a stopping gateway may not finish, and answer the rest

Callers saw: in a planned stop of one gateway, requests that came late in the grace were passed on and cut at its end without an answer, also such that may not be repeated. Cause: a stopping gateway took and passed on every request until its end, whatever time the request could take, and then closed the connections. Change: StopSchedule decides: a request whose deadline lies after the end is refused as not run, unless it may be repeated and the load balancer can not have noticed yet. Requests that still run at the end get status 504.

--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -12,6 +12,7 @@
 from clementineline.coordination import forwarding
 from clementineline.coordination import leaders
 from clementineline.coordination import opensubmissions
+from clementineline.coordination import stopping
 from clementineline.coordination import streaming
 from clementineline.daemons import base
 from clementineline import errors
@@ -29,6 +30,11 @@
 # Part of the time between the stop signal and the kill that is left after the
 # drain.
 STOP_MARGIN_S = 0.8
+# Time after which the requests of most callers go to other gateways.
+LATE_REQUEST_S = 2.8
+# Retry-After of requests that a stopping gateway refuses: the retry reaches
+# another gateway.
+STOPPING_RETRY_AFTER_S = 0.05
 # Retry-After of requests that are refused while the configuration is missing
 # or outdated.
 NOT_READY_RETRY_AFTER_S = 0.2
@@ -60,6 +66,8 @@
         self._leader_client = leaders.LeaderClient(store, log)
         # Ids of ended submissions, so that a repeated end needs no write.
         self._ended = collections.OrderedDict()
+        # The StopSchedule of a planned stop, None before it.
+        self._stop_schedule = None
         self._server = http.Server(self._handle, http.ServerLimits(), log)
         self._readiness_server = http.Server(
             self._handle_readiness, http.ServerLimits(), log
@@ -83,12 +91,15 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         self._stopping = True
+        self._stop_schedule = stopping.StopSchedule(
+            started + LATE_REQUEST_S,
+            started + self._settings.grace_s - STOP_MARGIN_S,
+        )
         self._server.draining = True
         self._log.info('gateway stopping', open=self._server.connections)
         await asyncio.sleep(ROTATION_EXIT_S)
         self._server.stop()
-        left_s = self._settings.grace_s - STOP_MARGIN_S
-        left_s -= loop.time() - started
+        left_s = self._stop_schedule.ends_at - loop.time()
         await self._server.drain(max(0.0, left_s))
         self._readiness_server.stop()
         await self._tasks.stop()
@@ -175,6 +186,10 @@
         if facts.timeout_s is not None:
             limit_s = min(limit_s, facts.timeout_s)
         deadline = incoming.arrived_at + limit_s
+        refusal = self._find_stop_refusal(route, deadline)
+        if refusal:
+            self._refuse(incoming, facts, 503, refusal, STOPPING_RETRY_AFTER_S)
+            return
         if route.streamed:
             verdict = await self._stream_forwarder.forward(
                 route, incoming, facts, deadline
@@ -220,6 +235,13 @@
         status = 504 if took_s >= limit_s else 502
         self._refuse(incoming, facts, status, verdict.reason)
 
+    def _find_stop_refusal(self, route, deadline):
+        if self._stop_schedule is None:
+            return ''
+        repeatable = route.resumable if route.streamed else route.idempotent
+        now = asyncio.get_running_loop().time()
+        return self._stop_schedule.find_refusal(now, deadline, repeatable)
+
     def _count_request(self, route, outcome, took_s):
         self.metrics.count('requests_total', route=route.name, outcome=outcome)
         self.metrics.observe('request_seconds', took_s, route=route.name)
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -23,6 +23,9 @@
     'strip_connection_headers',
 ]
 
+# Time to send the responses of requests that a drain has ended.
+END_TIMEOUT_S = 0.2
+
 _CONNECTION_HEADERS = frozenset(
     (
         b'connection',
@@ -263,6 +266,7 @@
 
     __slots__ = (
         '_handle',
+        '_handlers',
         '_idle_channels',
         '_log',
         '_server',
@@ -273,6 +277,8 @@
 
     def __init__(self, handle, limits, log):
         self._handle = handle
+        # Requests by the task that handles them.
+        self._handlers = {}
         self._log = log
         self._server = None
         self._tasks = set()
@@ -303,6 +309,8 @@
     async def drain(self, timeout_s):
         """Close idle connections and wait for the running requests.
 
+        Requests that still run then get status 504.
+
         :param timeout_s: longest time to wait for them, in seconds
         """
         self.draining = True
@@ -310,6 +318,21 @@
             channel.close()
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=timeout_s)
+        await self._end_requests()
+
+    async def _end_requests(self):
+        """Respond to requests that are still running, and close."""
+        for handler, incoming in list(self._handlers.items()):
+            self._log.info(
+                'request ended by the stop',
+                request=incoming.request_id,
+                target=incoming.head.target.decode('latin-1'),
+            )
+            # Does nothing if the response has started.
+            incoming.respond(504, (), b'the server stops\n')
+            handler.cancel()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=END_TIMEOUT_S)
 
     def stop(self):
         """Stop accepting connections; open ones stay open."""
@@ -351,12 +374,14 @@
 
     async def _run_handler(self, channel, incoming):
         handler = asyncio.create_task(self._handle(incoming))
+        self._handlers[handler] = incoming
         disconnected = asyncio.create_task(channel.wait_disconnected())
         try:
             await asyncio.wait(
                 (handler, disconnected), return_when=asyncio.FIRST_COMPLETED
             )
         finally:
+            del self._handlers[handler]
             disconnected.cancel()
             if not handler.done():
                 handler.cancel()
