Learn the limits that others know before leading

Callers saw: a reward service with a limit of 1.6 a second got 14 calls in 10 ms from a keeper that had been killed and led again 0.2 s after its restart. Cause: the new process leads before it has asked the others for limits, and the reward calls of complete texts are all due at once. Change: a keeper leads once the other keepers have answered, or after 0.8 s. Result: the test passes.

--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -20,7 +20,9 @@
 __all__ = ['BaseProcess']
 
 CLEANUP_INTERVAL_S = 1.0
-GATHER_CHECK_INTERVAL_S = 0.1
+GATHER_CHECK_INTERVAL_S = 0.02
+# A process that knows no others starts its work after this time.
+GATHER_TIMEOUT_S = 0.8
 
 
 class BaseProcess:
@@ -90,6 +92,8 @@
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
         )
+        self._limits_gathered = False
+        self._started_at = 0.0
         self._limits.on_request = self._count_endpoint_request
         self._stopping = False
 
@@ -106,6 +110,7 @@
 
     async def _start_base(self):
         """Watch the store and listen for other processes."""
+        self._started_at = asyncio.get_running_loop().time()
         self._tasks.supervise(self._route_watcher.run, 'routes')
         self._tasks.supervise(self._endpoint_watcher.run, 'endpoints')
         self._tasks.supervise(self._clean_up, 'cleanup')
@@ -164,6 +169,15 @@
         while not self._members.keepers or not self._directory.endpoints:
             await asyncio.sleep(GATHER_CHECK_INTERVAL_S)
         await self._limits.gather()
+        self._limits_gathered = True
+
+    @property
+    def _knows_limits(self):
+        """Whether the limits that others know were learned, or are late."""
+        if self._limits_gathered:
+            return True
+        age_s = asyncio.get_running_loop().time() - self._started_at
+        return age_s > GATHER_TIMEOUT_S
 
     async def _serve_peer(self, stream):
         await asking.serve_questions(
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -164,7 +164,9 @@
         try:
             while True:
                 if self._owner is None and self._may_lead():
-                    self._start_leading()
+                    # The first items all start at once.
+                    if self._knows_limits:
+                        self._start_leading()
                 elif (
                     self._owner is not None and self._lease.possibly_taken_over
                 ):
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -217,6 +217,39 @@
         await load.run('/live/a', 40, WINDOW_S)
         assert count_busiest(desk, since) <= count_allowed(2.0)
 
+    async def test_restarted_leader_has_many_reward_calls_due(
+        self, fleet, wait_until
+    ):
+        """The texts of a step were complete when its leader was killed."""
+        desks = [fleet.servers[name] for name in ('i-desk', 'i-desk2')]
+        for desk in desks:
+            desk.rate_limit = 1.0
+            entry = {**desk.describe('desk'), 'slots': 64}
+            fleet.store.put('servers', desk.name, entry)
+        leader = fleet.find_leader()
+        gateway = fleet.gateways['gateway-1']
+        since = get_loop_time() + NOTICE_S
+        await fleet.submit(gateway, 's1', items=60, scored=True)
+        owner = fleet.keepers[leader]._owner
+        await wait_until(
+            lambda: (
+                's1' in owner.open_submissions
+                and owner.open_submissions['s1'].runs
+                and all(
+                    run.whole
+                    for run in owner.open_submissions['s1'].runs.values()
+                )
+            )
+        )
+        await asyncio.sleep(NOTICE_S)
+        # The process that was killed finds its own lease at its restart.
+        await fleet.keepers.pop(leader)._tasks.stop()
+        await fleet.start_keeper(leader)
+        await wait_until(lambda: fleet.find_leader() == leader)
+        await asyncio.sleep(WINDOW_S)
+        for desk in desks:
+            assert count_busiest(desk, since) <= count_allowed(1.0)
+
     @pytest.mark.parametrize(
         'name',
         ['gateway-1', 'gateway-2', 'gateway-3', 'keeper-1', 'keeper-2'],
