Let endpoints with a limit take few of the reward calls at once

Trainers saw: late steps while reward services name limits: calls beyond the limits all went to the endpoint without one, more than it has slots for. Cause: an endpoint with a limit counted with half of its slots, as any other, in the number of reward calls that run at once. Change: it counts for one call.

--- a/src/clementineline/coordination/scoring.py
+++ b/src/clementineline/coordination/scoring.py
@@ -33,8 +33,9 @@
 def count_reward_slots(states, now):
     """Return how many reward calls a service's endpoints may run at once.
 
-    An endpoint that is full of other requests still counts for one, so that
-    live calls delay the rewards of a step but never stop them.
+    An endpoint that is full of other requests, or that names a limit of
+    requests a second, still counts for one, so that live calls delay the
+    rewards of a step but never stop them.
 
     :param states: :class:`~directory.EndpointState` of the endpoints
     :param now: loop time, in seconds
@@ -43,6 +44,9 @@
     for state in states:
         if now < state.backoff_until:
             continue
+        if state.limit is not None:
+            count += 1
+            continue
         others = 0
         if now - state.load_at < directory.LOAD_TTL_S:
             others = state.other_requests
--- a/src/clementineline/coordination/tests/test_scoring.py
+++ b/src/clementineline/coordination/tests/test_scoring.py
@@ -7,13 +7,16 @@
 NOW = 100.0
 
 
-def build_endpoint(slots=6, others=0, load_at=NOW, backoff_until=0.0):
+def build_endpoint(
+    slots=6, others=0, load_at=NOW, backoff_until=0.0, limit=None
+):
     """Return the observed state of an endpoint."""
     return types.SimpleNamespace(
         record=types.SimpleNamespace(slots=slots),
         other_requests=others,
         load_at=load_at,
         backoff_until=backoff_until,
+        limit=limit,
     )
 
 
@@ -36,6 +39,10 @@
         states = [build_endpoint(others=9, load_at=NOW - 2)]
         assert scoring.count_reward_slots(states, NOW) == 3
 
+    def test_endpoint_with_a_limit_of_requests_takes_one(self):
+        states = [build_endpoint(limit=object()), build_endpoint()]
+        assert scoring.count_reward_slots(states, NOW) == 4
+
     def test_endpoint_in_backoff_takes_none(self):
         states = [build_endpoint(backoff_until=NOW + 1)]
         assert scoring.count_reward_slots(states, NOW) == 0
