--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -192,6 +192,26 @@
             results = await fleet.read_all(gateway, f's{step}', 1)
             assert results[0]['state'] == 'completed'
 
+    async def test_version_is_loaded_within_a_low_limit(
+        self, fleet, wait_until
+    ):
+        """Reports must not use up the permits of the order and the items."""
+        gateway = fleet.gateways['gateway-1']
+        engines = [fleet.servers[name] for name in ('i-lm0', 'i-lm1')]
+        for engine in engines:
+            engine.rate_limit = 1.0
+        since = get_loop_time() + NOTICE_S
+        fleet.store.put('versions', 'm0', {'model': 'm0', 'version': 2})
+        await fleet.submit(gateway, 's1', items=8, minVersion=2)
+        await wait_until(
+            lambda: sum(len(engine.orders) for engine in engines) == 1, 6.0
+        )
+        async with asyncio.timeout(8.0):
+            results = await fleet.read_all(gateway, 's1', 2)
+        assert results[0]['versions'] == [2]
+        for engine in engines:
+            assert count_busiest(engine, since) <= count_allowed(1.0)
+
     async def test_reward_calls_beside_live_calls(self, fleet, load):
         desks = [fleet.servers['i-desk'], fleet.servers['i-desk2']]
         for desk in desks:
