Finish a request for a permit whose limit ends meanwhile

Cause: the task that asks for a permit read the limit when it began to run, and there may be none any more. It failed, without a log line. Change: the limit is passed on; tasks about limits log their failure.

--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -36,7 +36,7 @@
 # Permits count at the keeper from their issue on, so they may not be used
 # much later.
 PERMIT_TTL_S = 0.5
-# Limits that are found in this time are told to the members at once.
+# Changes of limits within this time are told in one message.
 TELL_DELAY_S = 0.05
 # An endpoint whose last response is older than this may no longer have its
 # limit. It gets a request even if other endpoints have none.
@@ -255,7 +255,8 @@
         if purpose == Purpose.ITEM and _has_valid(limit.reserved, now):
             limit.reserved.popleft()
             return
-        permit = await self._ask(state, wait_s, purpose in _BULK_PURPOSES)
+        bulk = purpose in _BULK_PURPOSES
+        permit = await self._ask(state, limit, wait_s, bulk)
         if not permit.granted:
             raise errors.LimitReached(
                 f'endpoint {state.id} takes {limit.known.rate} requests a '
@@ -296,7 +297,7 @@
 
     async def _fetch(self, state, limit):
         try:
-            permit = await self._ask(state, 0.0, True)
+            permit = await self._ask(state, limit, 0.0, True)
         finally:
             limit.asking = False
         self._keep(limit, permit)
@@ -324,12 +325,12 @@
             self._ranked[endpoint_id] = ranked
         return ranked
 
-    async def _ask(self, state, wait_s, bulk):
+    async def _ask(self, state, limit, wait_s, bulk):
         """Ask the issuer of an endpoint for a permit.
 
+        :param limit: the :class:`EndpointLimit`, which may have ended
         :returns: a :class:`~permits.Permit`
         """
-        limit = state.limit
         now = asyncio.get_running_loop().time()
         question = questions.RequestPermit(
             state.id, _encode_limit(limit.known, now), wait_s, bulk
@@ -491,7 +492,12 @@
     def _start(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._handle_end)
+
+    def _handle_end(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('limits task failed', exc_info=task.exception())
 
 
 def _encode_limit(known, now):
