Send a call beyond several limits to an endpoint without one

Cause: four refusals ended the call, whatever endpoints were left. Evidence: the new test gets 503 for all calls before the change. Change: after four refusals only endpoints without a limit are chosen. Result: the test passes, with test_streams and test_forwarding.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -31,8 +31,9 @@
 LIMIT_LOAD_PENALTY = 1.0
 # Longest wait for a permit, as a share of the route's target latency.
 PERMIT_WAIT_SHARE = 0.25
-# Limit on the endpoints that refuse a call because of their limits. Asking all
-# of a large service would take longer than a caller waits.
+# Refusals because of limits after which a call goes only to endpoints without
+# a limit. Asking for permits for all endpoints of a large service would take
+# longer than a caller waits.
 LIMIT_REFUSALS_MAX = 4
 
 # If no verdict of a call is final, the caller gets the one of highest rank.
@@ -59,7 +60,7 @@
     return targets[-1].service
 
 
-def choose_endpoint(candidates, tried, zone, now, hedge=False):
+def choose_endpoint(candidates, tried, zone, now, unlimited=False):
     """Choose the endpoint with the lowest estimated load.
 
     Endpoints that are in backoff after a failure come last. An endpoint that
@@ -70,8 +71,7 @@
     :param tried: ids of endpoints that this call was already sent to
     :param zone: availability zone of this process
     :param now: loop time, in seconds
-    :param hedge: whether another attempt of the call is in progress; an
-        endpoint with a limit is then not chosen
+    :param unlimited: whether only an endpoint without a limit is chosen
     :returns: an :class:`~directory.EndpointState`, or None
     """
     best = None
@@ -85,7 +85,7 @@
         load *= max(state.slowness, 1.0)
         limit = state.limit
         if limit is not None:
-            if hedge:
+            if unlimited:
                 continue
             if now - limit.known.named_at < ratelimits.RECHECK_S:
                 load += LIMIT_LOAD_PENALTY
@@ -249,15 +249,13 @@
     def _start_attempt(self, attempts, now, hedge):
         if len(attempts.tried) >= attempts.route.attempts_max:
             return None
-        if len(attempts.refused) >= LIMIT_REFUSALS_MAX:
-            return None
         # Endpoints may have left since the last attempt.
         state = choose_endpoint(
             self._directory.list_usable(attempts.service),
             [*attempts.tried, *attempts.refused],
             self._zone,
             now,
-            hedge,
+            unlimited=hedge or len(attempts.refused) >= LIMIT_REFUSALS_MAX,
         )
         if state is None:
             return None
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -87,15 +87,14 @@
         service = forwarding.choose_service(route.targets, random.random())
         stream = _Stream(facts.last_event)
         last = None
-        while (
-            len(stream.tried) < route.attempts_max
-            and len(stream.refused) < forwarding.LIMIT_REFUSALS_MAX
-        ):
+        while len(stream.tried) < route.attempts_max:
+            refusals = len(stream.refused)
             state = forwarding.choose_endpoint(
                 self._directory.list_usable(service),
                 [*stream.tried, *stream.refused],
                 self._zone,
                 asyncio.get_running_loop().time(),
+                unlimited=refusals >= forwarding.LIMIT_REFUSALS_MAX,
             )
             if state is None:
                 break
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -310,6 +310,27 @@
             assert took_s < 0.19
             assert 0 < float(headers[b'retry-after']) <= 3.0
 
+    async def test_busy_endpoint_without_a_limit_takes_the_call(
+        self, fleet, load
+    ):
+        """Five others refuse for their limits before it is chosen."""
+        for number in range(3, 7):
+            await fleet.start_server(f'i-desk{number}', 'desk')
+        *limited, free = [
+            server
+            for name, server in sorted(fleet.servers.items())
+            if name.startswith('i-desk')
+        ]
+        for server in limited:
+            server.rate_limit = 0.0
+        await load.run('/live/a', 40, 2.0)
+        for gateway in fleet.gateways.values():
+            state = gateway._directory.endpoints[free.name]
+            state.in_flight = 3 * state.record.slots
+        before = len(load.outcomes)
+        await load.run('/live/a', 20, 1.0)
+        assert set(load.list_statuses()[before:]) == {200}
+
     async def test_traffic_returns_after_the_limit(self, fleet, load):
         desk = fleet.servers['i-desk']
         desk.rate_limit = 2.0
