Look for other keepers less often once they are late

Operators saw: nothing; found by reading. Cause: a process without other keepers looked for them fifty times a second for as long as it ran, to ask them for limits. Change: once a second after the first 0.8 s.

--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -21,6 +21,7 @@
 
 CLEANUP_INTERVAL_S = 1.0
 GATHER_CHECK_INTERVAL_S = 0.02
+GATHER_LATE_INTERVAL_S = 1.0
 # A process that knows no others starts its work after this time.
 GATHER_TIMEOUT_S = 0.8
 
@@ -166,8 +167,11 @@
 
     async def _gather_limits(self):
         """Learn the limits of endpoints that others know at the start."""
+        interval_s = GATHER_CHECK_INTERVAL_S
         while not self._members.keepers or not self._directory.endpoints:
-            await asyncio.sleep(GATHER_CHECK_INTERVAL_S)
+            if self._knows_limits:
+                interval_s = GATHER_LATE_INTERVAL_S
+            await asyncio.sleep(interval_s)
         await self._limits.gather()
         self._limits_gathered = True
 
