--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -30,6 +30,8 @@
 LOG_INTERVAL_S = 4.0
 ASK_TIMEOUT_S = 0.25
 PASS_ON_TIMEOUT_S = 0.1
+# A new leader waits for the answers, so silent keepers may not delay it.
+READ_LIMITS_TIMEOUT_S = 0.1
 ASK_BACKOFF_S = 2.0
 # Limit on the keepers that are asked for one permit.
 ISSUERS_MAX = 3
@@ -420,7 +422,12 @@
         """Ask all keepers for the limits that they divide."""
         names = sorted(self._members.keepers)
         answers = await asyncio.gather(
-            *(self._ask_member(name, questions.ReadLimits()) for name in names)
+            *(
+                self._ask_member(
+                    name, questions.ReadLimits(), READ_LIMITS_TIMEOUT_S
+                )
+                for name in names
+            )
         )
         for answer in answers:
             if isinstance(answer, questions.LimitsAnswer):
