Ask some gateways for limits too when a process starts

Cause: a process that starts asked the other keepers alone. When all keepers were restarted together, none of them knew a limit, though every gateway did. Change: four other members are asked beside the keepers.

--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -35,6 +35,9 @@
 ASK_BACKOFF_S = 2.0
 # Limit on the keepers that are asked for one permit.
 ISSUERS_MAX = 3
+# Other processes than keepers that a new process asks for limits, since all
+# keepers may have been restarted together.
+OTHERS_ASKED_MAX = 4
 # Permits count at the keeper from their issue on, so they may not be used
 # much later.
 PERMIT_TTL_S = 0.5
@@ -419,8 +422,10 @@
     # Telling other processes.
 
     async def gather(self):
-        """Ask all keepers for the limits that they know."""
+        """Ask all keepers, and some other processes, for known limits."""
         names = sorted(self._members.keepers)
+        others = self._members.addresses.keys() - self._members.keepers
+        names += rendezvous.rank(self._name, others)[:OTHERS_ASKED_MAX]
         answers = await asyncio.gather(
             *(
                 self._ask_member(
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -278,6 +278,22 @@
         for desk in desks:
             assert count_busiest(desk, since) <= count_allowed(1.0)
 
+    async def test_all_keepers_restart_while_no_endpoint_is_asked(
+        self, fleet, load, wait_until
+    ):
+        """Only the gateways still know the limits."""
+        fleet.servers['i-desk'].rate_limit = 2.0
+        await load.run('/live/a', 40, 1.0)
+        names = sorted(fleet.keepers)
+        for name in names:
+            await fleet.keepers.pop(name)._tasks.stop()
+        for name in names:
+            await fleet.start_keeper(name)
+        for keeper in fleet.keepers.values():
+            await wait_until(lambda keeper=keeper: keeper._knows_limits)
+            limited = keeper._limits.list_limited()
+            assert [state.id for state in limited] == ['i-desk']
+
     @pytest.mark.parametrize(
         'name',
         ['gateway-1', 'gateway-2', 'gateway-3', 'keeper-1', 'keeper-2'],
