Keep the lease when an own renewal takes effect late

Trainers saw: the leader stops leading and leads again, with its runs cut, after one renewal got no answer and was carried out after the read that looked for it. Cause: the next renewal names the version before the late one and conflicts; a conflict counted as another holder, though the object still has this holder and its fence. Evidence: test_holder_keeps_the_lease_if_its_renewal_takes_effect_late failed before the change ("lease lost"). Change: after a conflict the holder reads the object; if it is of the same term, it adopts the version and renews. The lease is extended from the start of that renewal only.

--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -219,16 +219,35 @@
         self._log.info('lease acquired', fence=version, holder=self.holder)
 
     async def _renew(self):
-        started = self._clock.now()
         try:
-            self._version = await self._write(fence=self.fence)
+            await self._extend_by_write()
         except errors.WriteConflict as error:
+            if await self._adopt_late_renewal():
+                await self._extend_by_write()
+                return
             self._log.warning('lease lost', reason=str(error))
             self.possibly_taken_over = True
             self._clear()
-            return
+
+    async def _extend_by_write(self):
+        started = self._clock.now()
+        self._version = await self._write(fence=self.fence)
         self._extend(started)
 
+    async def _adopt_late_renewal(self):
+        """Adopt the version of an own renewal that took effect late.
+
+        :returns: whether the lease is still this term's
+        """
+        current = await self._read(stale=False)
+        if current is None or current.value['holder'] != self.holder:
+            return False
+        if current.value['fence'] != self.fence:
+            return False
+        self._version = current.version
+        self._log.info('renewal took effect late', fence=self.fence)
+        return True
+
     async def _write(self, fence):
         value = {
             'holder': self.holder,
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -20,6 +20,9 @@
         self.version = 0
         self.down = False
         self.stale = None
+        # The next write gets no answer and takes effect in apply_held_write.
+        self.hold_write = False
+        self.held_write = None
         self.on_read = lambda: None
 
     async def read(self, kind, name, stale=False):
@@ -33,6 +36,10 @@
     async def write(self, kind, name, value, expected):
         if self.down:
             raise errors.AmbiguousWrite('down')
+        if self.hold_write:
+            self.hold_write = False
+            self.held_write = (kind, name, value, expected)
+            raise errors.AmbiguousWrite('no answer')
         version = self.current.version if self.current else 0
         if version != expected:
             raise errors.WriteConflict(f'expected {expected}')
@@ -40,6 +47,9 @@
         self.current = platform.PlatformObject(kind, name, self.version, value)
         return self.version
 
+    async def apply_held_write(self):
+        await self.write(*self.held_write)
+
 
 @pytest.fixture
 def store():
@@ -246,6 +256,45 @@
         assert waits == [1.0, lease.RENEWAL_RETRY_S, 1.0]
         assert manager.holds()
 
+    async def test_holder_keeps_the_lease_if_its_renewal_takes_effect_late(
+        self, build_manager, clock, store
+    ):
+        manager, other = build_manager('a', clock), build_manager('b', clock)
+        await manager.step()
+        fence = manager.fence
+        store.hold_write = True
+        clock.time_s += 1.0
+        with pytest.raises(errors.AmbiguousWrite):
+            await manager.step()
+        await store.apply_held_write()
+        clock.time_s += 1.0
+        await manager.step()
+        clock.time_s += 2.0
+        assert manager.holds()
+        assert manager.fence == fence
+        await other.step()
+        assert not other.holds()
+
+    async def test_late_renewal_of_an_earlier_term_keeps_no_lease(
+        self, build_manager, clock, store
+    ):
+        """Another process has held the lease, and the late one fails."""
+        manager, other = build_manager('a', clock), build_manager('b', clock)
+        await manager.step()
+        store.hold_write = True
+        clock.time_s += 1.0
+        with pytest.raises(errors.AmbiguousWrite):
+            await manager.step()
+        await other.step()
+        clock.time_s += 5.0
+        await other.step()
+        assert other.holds()
+        with pytest.raises(errors.WriteConflict):
+            await store.apply_held_write()
+        await manager.step()
+        assert not manager.holds()
+        assert other.holds()
+
     async def test_holder_can_renew_after_a_store_outage(
         self, build_manager, clock, store, monkeypatch
     ):
