Keep the texts on a disk that stays full

Had all keepers lost power after a disk had been full for some seconds, the items of that keeper's texts would have started again. Cause: after a failed write the log starts the other one of its two files, and empties it first. The second failure emptied the file that still had the texts. Evidence: test_disk_that_stays_full_keeps_the_texts_on_it finds no text after four failed writes before the change. Change: a file that could not be started is tried again. Failed writes are counted in the new metric text_log_failures.

--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -93,6 +93,7 @@
         if self._text_log is not None:
             process_metrics.set('text_log_bytes', self._text_log.written_bytes)
             process_metrics.set('text_log_dropped', self._text_log.dropped)
+            process_metrics.set('text_log_failures', self._text_log.failures)
 
     def _list_recent_texts(self):
         return self._text_cache.list_recent(textlog.FILE_BYTES_MAX // 2)
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -44,6 +44,7 @@
     'orders_total': 'Orders sent to engines, by outcome.',
     'text_log_bytes': 'Bytes of texts written to disk.',
     'text_log_dropped': 'Parts of texts that a slow disk left out.',
+    'text_log_failures': 'Writes of texts that failed, as on a full disk.',
     'leads': 'Whether the process leads.',
     'store_calls': 'Calls made to the platform store.',
     'store_reachable': 'Whether the platform store answers the process.',
--- a/src/clementineline/state/tests/test_textlog.py
+++ b/src/clementineline/state/tests/test_textlog.py
@@ -117,6 +117,30 @@
         assert failures == [textlog.FILE_NAMES[1]]
         assert disk.list_items()[-2:] == ['i1', 'i2']
 
+    async def test_disk_that_stays_full_keeps_the_texts_on_it(
+        self, disk, monkeypatch
+    ):
+        text_log = disk.open()
+        disk.recent = [build_part(1)]
+        await disk.append_and_wait(text_log, build_part(1))
+
+        def write_nothing(handle, data):
+            raise OSError(errno.ENOSPC, 'no space')
+
+        with monkeypatch.context() as full:
+            full.setattr(textlog.os, 'write', write_nothing)
+            task = asyncio.create_task(text_log.run())
+            text_log.append([build_part(2)])
+            async with asyncio.timeout(5):
+                while text_log.failures < 4:
+                    await asyncio.sleep(0.001)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert disk.list_items() == ['i1']
+        disk.recent = [build_part(1), build_part(2), build_part(3)]
+        await disk.append_and_wait(text_log, build_part(3))
+        assert disk.list_items()[-3:] == ['i1', 'i2', 'i3']
+
     async def test_queue_for_a_slow_disk_is_bounded(self, disk, monkeypatch):
         monkeypatch.setattr(textlog, 'QUEUE_BYTES_MAX', 1000)
         text_log = disk.open()
--- a/src/clementineline/state/textlog.py
+++ b/src/clementineline/state/textlog.py
@@ -67,6 +67,7 @@
     """
 
     __slots__ = (
+        '_begin_failed',
         '_folder',
         '_generation',
         '_list_recent',
@@ -76,11 +77,14 @@
         '_size',
         '_wakeup',
         'dropped',
+        'failures',
         'written_bytes',
     )
 
     def __init__(self, folder, list_recent, log):
         self._folder = pathlib.Path(folder)
+        # Whether the last write was to start a file, and failed.
+        self._begin_failed = False
         self._generation = 0
         self._list_recent = list_recent
         self._log = log
@@ -89,6 +93,8 @@
         self._size = None
         self._wakeup = asyncio.Event()
         self.dropped = 0
+        # Number of failed writes.
+        self.failures = 0
         self.written_bytes = 0
 
     def load(self):
@@ -135,7 +141,8 @@
         while True:
             await self._wakeup.wait()
             self._wakeup.clear()
-            if self._size is None or self._size > FILE_BYTES_MAX:
+            begins = self._size is None or self._size > FILE_BYTES_MAX
+            if begins:
                 # The other file starts with the recent texts, which include
                 # the queued parts.
                 data = self._begin_file()
@@ -149,20 +156,29 @@
             try:
                 await asyncio.to_thread(self._write, name, flags, data)
             except OSError as error:
-                self._log.warning('texts not written', e=str(error))
+                self.failures += 1
+                self._log.warning(
+                    'texts not written', e=str(error), failures=self.failures
+                )
                 # The file may end in an incomplete record, and a reader
-                # would stop there. So the next write starts the other file.
+                # would stop there. So the next write starts a file.
                 self._size = None
+                self._begin_failed = begins
                 await asyncio.sleep(FAILURE_PAUSE_S)
                 self._wakeup.set()
                 continue
+            self._begin_failed = False
             self._size += len(data)
             self.written_bytes += len(data)
             await asyncio.sleep(WRITE_PAUSE_S)
 
     def _begin_file(self):
-        """Return the start of a new file: its generation and recent texts."""
-        self._generation += 1
+        """Return the start of a new file: its generation and recent texts.
+
+        It replaces the older file. A file that could not be started is tried
+        again, since the other one is the only one with texts then.
+        """
+        self._generation += len(FILE_NAMES) if self._begin_failed else 1
         header = _frame_record(_HEADER.pack(0, self._generation))
         recent = self._list_recent()
         return header + _frame_record(_ENCODER.encode(recent))
