Let one keeper of each zone watch the store for the other processes

Cause: two watches of at most 3 s and their comparisons in each of 68 processes. Evidence: calls counted by kind in a trial; 58 gateways made most of them. The processes ask one keeper of their zone for changes after their version; it answers only with recent evidence that it is up to date, and a process without an answer watches the store as before.

--- a/src/clementineline/coordination/objectwatcher.py
+++ b/src/clementineline/coordination/objectwatcher.py
@@ -5,15 +5,25 @@
 must be current, the known objects are therefore regularly compared with a
 cheap, possibly stale list. If that list holds a change that the watch has not
 reported, the kind is listed again in full.
+
+Changes may come from another process that watches the kind, see
+:mod:`~clementineline.coordination.watchrelay`.
 """
 
 import asyncio
 import dataclasses
+import math
 
+from clementineline.coordination import watchrelay
 from clementineline import errors
 from clementineline.protocol import links
 
-__all__ = ['ObjectWatcher', 'WatchIntervals', 'derive_intervals']
+__all__ = [
+    'ObjectWatcher',
+    'WatchIntervals',
+    'derive_intervals',
+    'derive_source_intervals',
+]
 
 # If the store drops its history, an open watch may miss changes and keep
 # waiting, and stale lists are 6 s behind, so only the next watch reports the
@@ -29,6 +39,10 @@
 # the pause, so it takes less than half of the time within which a change must
 # be in force.
 PAUSE_APPLY_SHARE = 0.4
+# Processes that watch for others have recent evidence all the time, so their
+# pauses and comparisons are shorter.
+SOURCE_PAUSE_SHARE = 0.2
+SOURCE_CHECK_SHARE = 0.15
 # For a change that must be in force within 2 s, or 3 s after a disturbance.
 WATCH_WAIT_S = 2.5
 CHECK_INTERVAL_S = 1.2
@@ -70,6 +84,20 @@
     )
 
 
+def derive_source_intervals(apply_s, disturbed_s):
+    """Derive the times of a watch on whose state other processes rely.
+
+    The parameters are those of :func:`derive_intervals`.
+
+    :returns: the :class:`WatchIntervals`
+    """
+    return dataclasses.replace(
+        derive_intervals(apply_s, disturbed_s),
+        pause_s=SOURCE_PAUSE_SHARE * apply_s,
+        check_interval_s=SOURCE_CHECK_SHARE * apply_s,
+    )
+
+
 class ObjectWatcher:
     """Reports all changes of the objects of a kind.
 
@@ -85,6 +113,11 @@
         that one response holds several changes
     :param wait_s: longest time that a watch waits, in seconds
     :param check_interval_s: seconds between comparisons; 0 for none
+    :param relay: the :class:`~watchrelay.WatchRelay` that is asked for changes
+        before the store; None for the store alone
+    :param relay_intervals: the :class:`~watchrelay.RelayIntervals`
+    :param history: the :class:`~watchrelay.ChangeHistory` for processes that
+        ask this one; None if none do
     """
 
     __slots__ = (
@@ -95,11 +128,15 @@
         '_names',
         '_on_objects',
         '_pause_s',
+        '_relay',
         '_store',
+        '_verified_at',
         '_wait_s',
         'current',
+        'history',
         'lost_at',
         'regained_at',
+        'relay_intervals',
         'version',
     )
 
@@ -113,6 +150,9 @@
         pause_s=0.0,
         wait_s=WATCH_WAIT_S,
         check_interval_s=CHECK_INTERVAL_S,
+        relay=None,
+        relay_intervals=None,
+        history=None,
     ):
         self._store = store
         self._kind = kind
@@ -122,7 +162,12 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._check_interval_s = check_interval_s
+        self._relay = relay
+        self.relay_intervals = relay_intervals
         self._names = set()
+        # Time of the last evidence that all changes were reported.
+        self._verified_at = -math.inf
+        self.history = history
         self.version = None
         self.current = False
         self.lost_at = None
@@ -154,30 +199,78 @@
                 await asyncio.sleep(links.jitter(retry_s))
                 retry_s = min(retry_s * 1.5, RETRY_MAX_S)
 
+    def measure_age(self):
+        """Return the age of the last evidence of being current, in seconds."""
+        return self._clock.now() - self._verified_at
+
+    def measure_regained(self):
+        """Return the time since the store was regained, None if never lost."""
+        if self.regained_at is None:
+            return None
+        return self._clock.now() - self.regained_at
+
     async def _step(self):
         if self.version is None:
-            page = await self._store.list_objects(self._kind)
-            self._handle_response()
-            self.version = page.version
-            self._names = {found.name for found in page.objects}
-            self._on_objects(page.objects, [], True)
+            await self._list()
             return
+        if self._relay is not None:
+            changes = await self._relay.watch(
+                self._kind, self.version, self.relay_intervals
+            )
+            if changes is not None:
+                self._apply_relayed(changes)
+                return
         page = await self._watch()
         if page is None:
             self.version = None
             return
-        self._handle_response()
+        self._handle_response(self._clock.now())
         # The store may not have reported all changes up to the version of an
         # response without changes, so the next watch starts from the same
         # version as this one.
         if page.objects or page.removed:
-            self.version = max(self.version, page.version)
-            self._names.update(found.name for found in page.objects)
-            self._names.difference_update(page.removed)
-            self._on_objects(page.objects, page.removed, False)
+            self._apply_changes(page.version, page.objects, page.removed)
             if self._pause_s:
                 await asyncio.sleep(self._pause_s)
 
+    async def _list(self):
+        started = self._clock.now()
+        page = await self._store.list_objects(self._kind)
+        self._handle_response(started)
+        self._replace(page.version, page.objects)
+
+    def _replace(self, version, found):
+        self.version = version
+        self._names = {each.name for each in found}
+        if self.history is not None:
+            self.history.replace(version, found)
+        self._on_objects(found, [], True)
+
+    def _apply_changes(self, version, found, removed):
+        self.version = max(self.version, version)
+        self._names.update(each.name for each in found)
+        self._names.difference_update(removed)
+        if self.history is not None:
+            self.history.extend(self.version, found, removed)
+        self._on_objects(found, removed, False)
+
+    def _apply_relayed(self, changes):
+        """Apply the changes that another process has reported.
+
+        :param changes: :class:`~questions.WatchedChanges`
+        """
+        now = self._clock.now()
+        self._handle_response(now - changes.age_s)
+        if changes.regained_s is not None:
+            # Entries may have lapsed while the other process had no store.
+            regained_at = now - changes.regained_s
+            self.regained_at = max(self.regained_at or 0.0, regained_at)
+        found = watchrelay.decode_objects(self._kind, changes.objects)
+        if changes.whole:
+            self._replace(changes.version, found)
+        elif found or changes.removed:
+            self._apply_changes(changes.version, found, changes.removed)
+
     async def _watch(self):
         """Wait for changes; return None if the watch has missed some."""
         watch = asyncio.create_task(
@@ -209,6 +302,7 @@
             )
             if not self._check_interval_s:
                 continue
+            started = self._clock.now()
             try:
                 page = await self._store.list_objects(self._kind, stale=True)
             except errors.PlatformError:
@@ -219,9 +313,11 @@
                     return
             if {found.name for found in page.objects} != self._names:
                 return
+            self._verified_at = started
 
-    def _handle_response(self):
+    def _handle_response(self, verified_at):
         self.current = True
+        self._verified_at = verified_at
         if self.lost_at is not None:
             self.lost_at = None
             self.regained_at = self._clock.now()
--- a/src/clementineline/coordination/tests/test_objectwatcher.py
+++ b/src/clementineline/coordination/tests/test_objectwatcher.py
@@ -9,6 +9,7 @@
 import pytest
 
 from clementineline.coordination import objectwatcher
+from clementineline.coordination import watchrelay
 from clementineline import errors
 from clementineline.state import objects
 
@@ -129,6 +130,15 @@
         assert 2 * intervals.check_interval_s < disturbed_s
         assert 2 * intervals.pause_s < apply_s
 
+    @pytest.mark.parametrize('apply_s', [1.0, 2.0, 3.0, 6.0])
+    def test_watch_for_others_has_recent_evidence(self, apply_s):
+        """Without any, all that rely on it would ask the store at once."""
+        intervals = objectwatcher.derive_source_intervals(apply_s, 2 * apply_s)
+        relayed = watchrelay.derive_relay_intervals(apply_s)
+        # The times are drawn from within 20 % of the interval.
+        oldest_s = intervals.pause_s + 1.2 * intervals.check_interval_s
+        assert oldest_s < relayed.fresh_s
+
     def test_larger_bounds_make_fewer_calls(self):
         small = objectwatcher.derive_intervals(2.0, 3.0)
         large = objectwatcher.derive_intervals(4.0, 5.0)
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from clementineline import clocks
 from clementineline.coordination import connections
@@ -11,6 +12,7 @@
 from clementineline.coordination import objectwatcher
 from clementineline.coordination import ratelimits
 from clementineline.coordination import routetable
+from clementineline.coordination import watchrelay
 from clementineline.daemons import metrics
 from clementineline.daemons import tasks
 from clementineline.protocol import asking
@@ -49,29 +51,6 @@
         self._directory = directory.Directory(
             dialect.decode_endpoint, self._clock, log
         )
-        self._endpoint_watcher = self._build_watcher(
-            dialect.kinds.endpoints,
-            self._apply_endpoints,
-            # Entries change in bursts while versions load. The pause lets one
-            # answer carry several of them.
-            **dataclasses.asdict(
-                objectwatcher.derive_intervals(
-                    settings.watch.endpoint_leave_s,
-                    settings.watch.disturbed_s,
-                )
-            ),
-        )
-        self._routes = routetable.ActiveRouteTable(dialect, log)
-        route_intervals = objectwatcher.derive_intervals(
-            settings.watch.routes_apply_s, settings.watch.disturbed_s
-        )
-        self._route_watcher = self._build_watcher(
-            dialect.kinds.routes,
-            self._apply_routes,
-            wait_s=route_intervals.wait_s,
-            check_interval_s=route_intervals.check_interval_s,
-        )
-        self._ledger = ledger.Ledger(store, settings.value_bytes)
         self._members = members.MemberRegistry(
             settings.name,
             settings.listen,
@@ -80,6 +59,31 @@
             log,
             zone=settings.zone,
         )
+        self._watch_relay = watchrelay.WatchRelay(
+            settings.name,
+            settings.zone,
+            self.MAY_OWN_SUBMISSIONS,
+            self._members,
+            log,
+        )
+        self._endpoint_watcher = self._build_shared_watcher(
+            dialect.kinds.endpoints,
+            self._apply_endpoints,
+            settings.watch.endpoint_leave_s,
+        )
+        self._routes = routetable.ActiveRouteTable(dialect, log)
+        self._route_watcher = self._build_shared_watcher(
+            dialect.kinds.routes,
+            self._apply_routes,
+            settings.watch.routes_apply_s,
+            # Route tables do not change in bursts.
+            pause_s=0.0,
+        )
+        self._shared_watchers = {
+            dialect.kinds.endpoints: self._endpoint_watcher,
+            dialect.kinds.routes: self._route_watcher,
+        }
+        self._ledger = ledger.Ledger(store, settings.value_bytes)
         self._limits = ratelimits.RateLimits(
             settings.name,
             self.MAY_OWN_SUBMISSIONS,
@@ -109,6 +113,28 @@
             self._store, kind, on_objects, self._clock, self._log, **options
         )
 
+    def _build_shared_watcher(self, kind, on_objects, apply_s, **options):
+        """Build a watcher of a kind that all processes need.
+
+        :param apply_s: time within which a change must be in force, in
+            seconds
+        """
+        disturbed_s = self._settings.watch.disturbed_s
+        intervals = objectwatcher.derive_intervals(apply_s, disturbed_s)
+        if self.MAY_OWN_SUBMISSIONS:
+            intervals = objectwatcher.derive_source_intervals(
+                apply_s, disturbed_s
+            )
+            options['history'] = watchrelay.ChangeHistory()
+        relay_intervals = watchrelay.derive_relay_intervals(apply_s)
+        return self._build_watcher(
+            kind,
+            on_objects,
+            relay=self._watch_relay,
+            relay_intervals=relay_intervals,
+            **{**dataclasses.asdict(intervals), **options},
+        )
+
     async def _start_base(self):
         """Watch the store and listen for other processes."""
         self._started_at = asyncio.get_running_loop().time()
@@ -194,11 +220,21 @@
             return await members.answer_relay(self._store, question)
         if isinstance(question, ratelimits.QUESTIONS):
             return await self._answer_about_limits(question)
+        if isinstance(question, questions.WatchKind):
+            return await self._answer_watch(question)
         return await self._answer(question)
 
     async def _answer_about_limits(self, question):
         return await self._limits.answer(question)
 
+    async def _answer_watch(self, question):
+        watcher = self._shared_watchers.get(question.kind)
+        if watcher is None or watcher.history is None:
+            return questions.NotWatching(math.inf)
+        return await watchrelay.answer_watch(
+            watcher, question.since, question.wait_s
+        )
+
     async def _answer(self, question):
         """Answer a question about submissions or texts.
 
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -1,7 +1,8 @@
 """Questions that the processes ask each other, and the answers.
 
 Processes ask keepers for permits to send requests to endpoints with a limit.
-Gateways ask the leader about submissions, the leader copies the texts of
+Gateways ask keepers for changes of objects in the platform's store, and the
+leader about submissions. The leader copies the texts of
 unfinished items to other keepers, and a process that cannot reach the
 platform's store asks another process to make its calls.
 """
@@ -17,6 +18,7 @@
     'KeepTexts',
     'LimitsAnswer',
     'NotLeading',
+    'NotWatching',
     'PageAnswer',
     'PermitAnswer',
     'Question',
@@ -34,6 +36,9 @@
     'TextPart',
     'TextsAnswer',
     'UnknownSubmission',
+    'WatchKind',
+    'WatchedChanges',
+    'WatchedObject',
 ]
 
 
@@ -222,6 +227,56 @@
     limits: dict[str, StatedLimit]
 
 
+class WatchKind(msgspec.Struct, frozen=True, tag='watch'):
+    """Asks a process for changes of the objects of a kind.
+
+    :param since: version of the store that the asking process has
+    :param wait_s: longest time to wait for a change, in seconds
+    """
+
+    kind: str
+    since: int
+    wait_s: float
+
+
+class WatchedObject(msgspec.Struct, frozen=True):
+    """An object of the store, with its encoded value."""
+
+    name: str
+    version: int
+    value: msgspec.Raw
+
+
+class WatchedChanges(msgspec.Struct, frozen=True, tag='changes'):
+    """Changes of the objects of a kind.
+
+    :param version: version up to which changes are included
+    :param objects: changed objects
+    :param removed: names of removed objects
+    :param whole: whether all other objects are gone
+    :param age_s: age of the answering process's last evidence that it is up to
+        date, in seconds
+    :param regained_s: time since the answering process could reach the store
+        again, in seconds; None if it always could
+    """
+
+    version: int
+    objects: list[WatchedObject]
+    removed: list[str]
+    whole: bool
+    age_s: float = 0.0
+    regained_s: float | None = None
+
+
+class NotWatching(msgspec.Struct, frozen=True, tag='not_watching'):
+    """The process is not up to date itself.
+
+    :param age_s: age of its last evidence, in seconds
+    """
+
+    age_s: float
+
+
 Question = (
     ReadResults
     | ReadBody
@@ -232,6 +287,7 @@
     | RequestPermit
     | TellLimits
     | ReadLimits
+    | WatchKind
 )
 Answer = (
     NotLeading
@@ -244,4 +300,6 @@
     | TextsAnswer
     | PermitAnswer
     | LimitsAnswer
+    | WatchedChanges
+    | NotWatching
 )
