Ask a few processes for limits at the start, not all keepers

Cause: a process that starts asks all keepers for the known limits and keeps the connections. The new test finds 54 asked of 100 before the change. Change: four keepers and four others are asked; all processes know all limits.

--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -35,8 +35,9 @@
 ASK_BACKOFF_S = 2.0
 # Limit on the keepers that are asked for one permit.
 ISSUERS_MAX = 3
-# Other processes than keepers that a new process asks for limits, since all
-# keepers may have been restarted together.
+# Limits on the keepers and the other processes that a new process asks for the
+# known limits. All keepers may have been restarted together.
+KEEPERS_ASKED_MAX = 4
 OTHERS_ASKED_MAX = 4
 # Permits count at the keeper from their issue on, so they may not be used
 # much later.
@@ -422,9 +423,13 @@
     # Telling other processes.
 
     async def gather(self):
-        """Ask all keepers, and some other processes, for known limits."""
-        names = sorted(self._members.keepers)
-        others = self._members.addresses.keys() - self._members.keepers
+        """Ask some keepers and some other processes for known limits.
+
+        All processes know all limits, so a few of them are enough.
+        """
+        keepers = self._members.keepers
+        others = self._members.addresses.keys() - keepers
+        names = rendezvous.rank(self._name, keepers)[:KEEPERS_ASKED_MAX]
         names += rendezvous.rank(self._name, others)[:OTHERS_ASKED_MAX]
         answers = await asyncio.gather(
             *(
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from clementineline.coordination import ratelimits
 from clementineline.coordination import rendezvous
 from clementineline.platform.tests import standin
 
@@ -278,6 +279,27 @@
         for desk in desks:
             assert count_busiest(desk, since) <= count_allowed(1.0)
 
+    async def test_new_process_asks_a_bounded_number_of_others(
+        self, fleet, monkeypatch
+    ):
+        """Connections to all keepers would grow with the fleet."""
+        gateway = fleet.gateways['gateway-1']
+        names = [f'keeper-{number}' for number in range(50)]
+        names += [f'gateway-{number}' for number in range(50)]
+        gateway._members.addresses = dict.fromkeys(names, '')
+        gateway._members.keepers = set(names[:50])
+        asked = []
+
+        async def note(name, question, timeout_s):
+            asked.append(name)
+
+        monkeypatch.setattr(
+            ratelimits.RateLimits, '_ask_member', staticmethod(note)
+        )
+        await gateway._limits.gather()
+        assert 2 <= len(asked) <= 10
+        assert len(asked) == len(set(asked))
+
     async def test_all_keepers_restart_while_no_endpoint_is_asked(
         self, fleet, load, wait_until
     ):
