Abandon no relayed write when an earlier watch ends

Cause: the response to a watch from before the loss marked the store as reachable. The renewal that another process was relaying was then given up as ambiguous, found without effect, and took effect late. Change: such a response is followed by a probe at once, which shows whether new calls work, and its connection is closed. Without the probe the second new test fails.

--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -109,8 +109,10 @@
     __slots__ = (
         '_address',
         '_became_reachable_at',
+        '_early_probe',
         '_idle_connections',
         '_log',
+        '_lost_at',
         '_probe_task',
         '_regained',
         'calls',
@@ -121,8 +123,11 @@
     def __init__(self, address, log):
         self._address = address
         self._became_reachable_at = 0.0
+        # The probe after a response to a call from before the loss.
+        self._early_probe = None
         self._idle_connections = []
         self._log = log
+        self._lost_at = 0.0
         self._probe_task = None
         # Set, and replaced, when the store responds again.
         self._regained = asyncio.Event()
@@ -385,11 +390,18 @@
         finally:
             if not done:
                 client.close()
-        self._release_connection(client)
+        from_before_loss = not self.reachable and started < self._lost_at
+        if from_before_loss:
+            client.close()
+        else:
+            self._release_connection(client)
         if reply.status_code in (429, 503):
             self._handle_failure(
                 method, path, f'status {reply.status_code}', started
             )
+        elif from_before_loss:
+            # New connections may still fail, which only a new call can show.
+            self._probe_early()
         elif not self.reachable:
             self._mark_reachable()
         return reply.status_code, answer
@@ -405,6 +417,7 @@
         if not self.reachable or started < self._became_reachable_at:
             return
         self.reachable = False
+        self._lost_at = asyncio.get_running_loop().time()
         # Connections opened before the outage may never respond again.
         for client in self._idle_connections:
             client.close()
@@ -424,15 +437,22 @@
 
     async def _probe_store(self):
         """Probe the store until it responds to this process again."""
-        path = f'/{PROBE_KIND}?serializable=1'
         while not self.reachable:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            try:
-                await self.call_directly('GET', path, b'', RESPONSE_TIMEOUT_S)
-            except errors.PlatformError:
-                continue
+            await self._probe_once()
         self._probe_task = None
 
+    async def _probe_once(self):
+        path = f'/{PROBE_KIND}?serializable=1'
+        try:
+            await self.call_directly('GET', path, b'', RESPONSE_TIMEOUT_S)
+        except errors.PlatformError as error:
+            self._log.debug('probe of the platform failed', reason=str(error))
+
+    def _probe_early(self):
+        if self._early_probe is None or self._early_probe.done():
+            self._early_probe = asyncio.create_task(self._probe_once())
+
     async def _acquire_connection(self):
         """Return an idle connection, or open one."""
         now = asyncio.get_running_loop().time()
--- a/src/clementineline/platform/tests/test_objects.py
+++ b/src/clementineline/platform/tests/test_objects.py
@@ -184,3 +184,50 @@
             with pytest.raises(errors.AmbiguousWrite):
                 await writing
             await cut_off.write('lease', 'c', {'x': 1}, 0)
+
+
+class TestNewConnectionsRefused:
+    """A VM whose open connections to the store still work."""
+
+    @pytest.fixture
+    def relayed(self, store, client, log):
+        """Return the client; another process makes its calls, slowly."""
+        other = objects.ObjectStore(frames.parse_address(store.address), log)
+
+        async def relay(*call):
+            await asyncio.sleep(0.4)
+            return await other.call_directly(*call)
+
+        client.relay = relay
+        return client
+
+    def refuse_connections(self, client):
+        address = f'127.0.0.1:{standin.find_free_port()}'
+        client._address = frames.parse_address(address)
+        client._idle_connections.clear()
+
+    async def test_end_of_an_earlier_watch_abandons_no_relayed_write(
+        self, store, relayed
+    ):
+        """The leader lost its lease to its own renewal."""
+        watch = asyncio.create_task(relayed.watch('k', store.revision, 0.2))
+        await asyncio.sleep(0.05)
+        self.refuse_connections(relayed)
+        version = await relayed.write('lease', 'c', {'x': 1}, 0)
+        assert version == store.revision
+        assert watch.done()
+        assert not relayed.reachable
+
+    async def test_end_of_an_earlier_watch_shows_the_end_of_an_outage(
+        self, store, relayed, monkeypatch, wait_until
+    ):
+        monkeypatch.setattr(objects, 'PROBE_INTERVAL_S', 60.0)
+        watch = asyncio.create_task(relayed.watch('k', store.revision, 0.8))
+        await asyncio.sleep(0.05)
+        store.down = True
+        with pytest.raises(errors.PlatformUnavailable):
+            await relayed.read('lease', 'c')
+        assert not relayed.reachable
+        store.down = False
+        await watch
+        await wait_until(lambda: relayed.reachable, 1.0)
