Soak gateways and keepers as processes under random faults

`make soak SEED=n` starts real gateways and keepers on loopback addresses, with stand-ins of the store and of the endpoints, and injects overlapping faults from outside of them: signals, cut, silent and slow connections, writes that are lost or take effect late, full disks and torn records, limits of endpoints, failing endpoints, versions and routes. It compares what callers, trainers and endpoints see with the promises: at most once, refusals that say "not run", whole answers and texts, results once and in place, nothing lost after a 202, honest versions, limits of endpoints, one leader.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,13 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 SEED ?= 1
+SEEDS ?= 1
+MINUTES ?= 1
 # Tests that KNOWN-RED.txt lists as "- test NODE-ID: ..." are not run.
 KNOWN_RED := $(shell sed -n 's/^- test \([^ ]*\): .*/--deselect \1/p' \
 	KNOWN-RED.txt)
 
-.PHONY: setup test lint format demo spec faults bench capacity
+.PHONY: setup test lint format demo spec faults soak bench capacity
 
 setup: $(STAMP)
 
@@ -36,6 +38,10 @@
 faults: setup
 	$(BIN)/python -m clementineline.experiments.faults --seed $(SEED)
 
+soak: setup
+	$(BIN)/python -m clementineline.platform.tests.soak \
+		--seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES)
+
 bench: setup
 	$(BIN)/python -m clementineline.experiments.bench
 
--- a/src/clementineline/experiments/processes.py
+++ b/src/clementineline/experiments/processes.py
@@ -74,17 +74,28 @@
             name, ['-m', 'clementineline', role, '--settings', str(path)]
         )
 
-    def _start(self, name, arguments):
-        self._arguments[name] = arguments
+    def start_program(self, name, arguments, variables):
+        """Start a Python program.
+
+        :param arguments: its path and arguments
+        :param variables: dict of additional environment variables
+        """
+        self._start(name, arguments, variables)
+
+    def _start(self, name, arguments, variables=None):
+        self._arguments[name] = arguments, variables
         log = (self.folder / f'{name}.log').open('ab')
         self._processes[name] = subprocess.Popen(
-            [sys.executable, *arguments], stdout=log, stderr=log
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, **(variables or {})},
         )
         log.close()
 
     def restart(self, name):
         """Start a stopped process again with the same arguments."""
-        self._start(name, self._arguments[name])
+        self._start(name, *self._arguments[name])
 
     def get_pid(self, name):
         """Return the id of a process."""
--- a/src/clementineline/experiments/relay.py
+++ b/src/clementineline/experiments/relay.py
@@ -15,9 +15,13 @@
     by a middlebox that has lost the state of the connection.
 
     :param target: :class:`~frames.Address` to which connections are forwarded
+    :ivar refuses: whether new connections are aborted
+    :ivar delay_s: time by which all bytes are delayed, in seconds
     """
 
     def __init__(self, target):
+        self.refuses = False
+        self.delay_s = 0.0
         self._target = target
         self._pairs = []
         self._tasks = []
@@ -33,27 +37,40 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
-        target = await asyncio.open_connection(
-            self._target.host, self._target.port
-        )
-        pair = {'silent': False, 'writers': (writer, target[1])}
+        if self.refuses:
+            writer.transport.abort()
+            return
+        try:
+            target = await asyncio.open_connection(
+                self._target.host, self._target.port
+            )
+        except OSError:
+            # As if there were no relay.
+            writer.transport.abort()
+            return
+        pair = {'silent': (), 'writers': (writer, target[1])}
         self._pairs.append(pair)
         self._tasks += [
-            asyncio.create_task(self._copy(pair, reader, target[1])),
-            asyncio.create_task(self._copy(pair, target[0], writer)),
+            asyncio.create_task(self._copy(pair, 'to', reader, target[1])),
+            asyncio.create_task(self._copy(pair, 'from', target[0], writer)),
         ]
 
-    async def _copy(self, pair, reader, writer):
+    async def _copy(self, pair, direction, reader, writer):
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if not pair['silent']:
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if direction not in pair['silent']:
                     writer.write(data)
             writer.close()
 
-    def silence(self):
-        """Discard all further bytes of the current connections."""
+    def silence(self, directions=('to', 'from')):
+        """Discard all further bytes of the current connections.
+
+        :param directions: ``to`` the target, ``from`` it, or both
+        """
         for pair in self._pairs:
-            pair['silent'] = True
+            pair['silent'] = directions
 
     def cut(self):
         """Abort the current connections."""
--- /dev/null
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -0,0 +1,104 @@
+"""Command line of the soak."""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import structlog
+
+from clementineline.platform.tests.soak import faults
+from clementineline.platform.tests.soak import fleet as fleets
+from clementineline.platform.tests.soak import load
+
+__all__ = ['main', 'run_seed']
+
+
+async def run_seed(seed, duration_s, folder, gateways=3, keepers=3):
+    """Run the faults of one seed under load.
+
+    :param duration_s: time for which faults are injected, in seconds
+    :param folder: new folder for logs, settings and disks
+    :returns: ``(recorder, injector, trainer)``
+    """
+    structlog.configure(
+        logger_factory=structlog.PrintLoggerFactory(
+            (pathlib.Path(folder) / 'standins.log').open('a')
+        )
+    )
+    fleet = fleets.Fleet(folder, gateways, keepers, structlog.get_logger())
+    recorder = load.Recorder()
+    injector = faults.FaultInjector(fleet, recorder, random.Random(seed))
+    sender = load.Sender(fleet, random.Random(seed + 1))
+    trainer = load.Trainer(sender, recorder, fleet, random.Random(seed + 2))
+    stopping = asyncio.Event()
+    try:
+        await fleet.start()
+        callers = load.Callers(sender, recorder)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(callers.run(stopping))
+            group.create_task(trainer.run(stopping))
+            await injector.run(duration_s)
+            await fleet.wait_until_ready()
+            stopping.set()
+        for name in fleet.list_ended():
+            recorder.report('processes run on', f'{name} ended by itself')
+    finally:
+        await fleet.stop()
+    recorder.check_runs(fleet.servers.values())
+    recorder.check_limits()
+    recorder.check_orders(fleet.servers.values())
+    return recorder, injector, trainer
+
+
+def _print_run(seed, recorder, injector, trainer):
+    print(
+        f'seed {seed}: {len(injector.injected)} faults, '
+        f'{sum(recorder.statuses.values())} responses, '
+        f'{trainer.completed} of {trainer.accepted} accepted submissions '
+        f'complete, {len(recorder.violations)} broken promises'
+    )
+    for violation in recorder.violations:
+        print(f'  {violation}')
+
+
+def main(arguments=None):
+    """Run one or more seeds; return the exit code."""
+    parser = argparse.ArgumentParser(description='Soak gateways and keepers.')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--minutes', type=float, default=0.5)
+    parser.add_argument('--gateways', type=int, default=3)
+    parser.add_argument('--keepers', type=int, default=3)
+    parser.add_argument('--faults', action='store_true', help='list faults')
+    options = parser.parse_args(arguments)
+    broken = []
+    for seed in range(options.seed, options.seed + options.seeds):
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        outcome = asyncio.run(
+            run_seed(
+                seed,
+                60 * options.minutes,
+                folder,
+                options.gateways,
+                options.keepers,
+            )
+        )
+        _print_run(seed, *outcome)
+        if options.faults:
+            for fault in outcome[1].injected:
+                print('  ', *fault)
+        if outcome[0].violations:
+            broken.append(seed)
+            print(f'  logs in {folder}')
+        else:
+            shutil.rmtree(folder)
+    print(f'{options.seeds} seeds, {len(broken)} with broken promises')
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -0,0 +1,318 @@
+"""Random faults, from outside of the processes."""
+
+import asyncio
+import random
+import signal
+
+from clementineline.platform.tests.soak import fleet as fleets
+from clementineline.platform.tests.soak import load
+
+__all__ = ['FaultInjector']
+
+GAP_S = (0.3, 1.6)
+DURATION_S = (0.3, 4.0)
+# Requests a second that endpoints take, and the shortest time of their limit,
+# of which the first seconds do not count.
+LIMIT_RATE = (0.5, 2.0)
+LIMIT_MIN_S = 8.0
+# Longer than the lease, so that another keeper leads meanwhile.
+LEADER_PAUSE_S = 4.5
+HELD_KINDS = ('results-', 'results-', 'lease', 'submissions', '')
+STOP_TIMEOUT_S = 20.0
+# The exit code after a stop signal.
+CODE_STOPPED = 0
+
+
+class FaultInjector:
+    """Injects overlapping faults and ends each of them.
+
+    :param fleet: the :class:`~fleet.Fleet`
+    :param recorder: the :class:`~load.Recorder`
+    :param rng: random number generator; the same seed gives the same faults
+    :ivar injected: ``(seconds, fault, target)`` of each fault
+    """
+
+    def __init__(self, fleet, recorder, rng):
+        self._fleet = fleet
+        self._recorder = recorder
+        self._rng = rng
+        # Processes that have a fault of their own.
+        self._busy = set()
+        self._version = 1
+        self.injected = []
+
+    async def run(self, duration_s):
+        """Inject faults for some time, then wait until all have ended."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        kinds = [
+            self.kill_process,
+            self.stop_process,
+            self.pause_process,
+            self.pause_leader,
+            self.hang_up,
+            self.kill_all_keepers,
+            self.silence_store_for_one,
+            self.refuse_store_for_some,
+            self.delay_store,
+            self.refuse_calls_to_store,
+            self.lose_writes,
+            self.hold_writes,
+            self.drop_history,
+            self.fail_disk,
+            self.tear_disk,
+            self.fail_server,
+            self.shed_server,
+            self.lose_answers,
+            self.break_stream,
+            self.silence_server,
+            self.cut_server,
+            self.limit_service,
+            self.name_version,
+            self.change_routes,
+        ]
+        # Each kind comes once before any comes twice.
+        order = []
+        async with asyncio.TaskGroup() as group:
+            while loop.time() - started < duration_s:
+                if not order:
+                    order = self._rng.sample(kinds, len(kinds))
+                inject = order.pop()
+                left_s = self._rng.uniform(*DURATION_S)
+                target = self._choose_target(inject)
+                self.injected.append(
+                    (
+                        round(loop.time() - started, 2),
+                        inject.__name__,
+                        target,
+                        round(left_s, 2),
+                    )
+                )
+                # The draws of a fault must not change those of later ones.
+                rng = random.Random(self._rng.random())
+                group.create_task(inject(target, left_s, rng))
+                await asyncio.sleep(self._rng.uniform(*GAP_S))
+
+    def _choose_target(self, inject):
+        """Return the name that a fault needs: a process or an endpoint."""
+        name = inject.__name__
+        if 'disk' in name:
+            return self._rng.choice(self._fleet.keepers)
+        if name == 'break_stream':
+            return self._rng.choice(['i-lm1', 'i-lm2', 'i-lm3'])
+        if name == 'lose_answers':
+            return self._rng.choice(['i-desk1', 'i-desk2', 'i-desk3'])
+        if 'serv' in name:
+            return self._rng.choice(sorted(self._fleet.servers))
+        return self._rng.choice(self._fleet.names)
+
+    def _reserve(self, name):
+        """Reserve a process for a fault; one gateway stays without any."""
+        if name in self._busy:
+            return False
+        idle = set(self._fleet.gateways) - self._busy - {name}
+        if name in self._fleet.gateways and not idle:
+            return False
+        self._busy.add(name)
+        return True
+
+    # Processes.
+
+    async def kill_process(self, name, left_s, rng):
+        if not self._reserve(name):
+            return
+        self._kill(name)
+        await asyncio.sleep(left_s)
+        self._restart(name)
+        self._busy.discard(name)
+
+    def _kill(self, name):
+        self._fleet.stopped.add(name)
+        self._fleet.group.kill(name)
+
+    def _restart(self, name):
+        self._fleet.restart(name)
+
+    async def kill_all_keepers(self, name, left_s, rng):
+        names = [name for name in self._fleet.keepers if self._reserve(name)]
+        for name in names:
+            self._kill(name)
+        await asyncio.sleep(left_s / 2)
+        for name in names:
+            self._restart(name)
+            self._busy.discard(name)
+
+    async def stop_process(self, name, left_s, rng):
+        # A signal before the handlers are set ends the process by default.
+        if not self._fleet.has_started(name) or not self._reserve(name):
+            return
+        self._fleet.stopped.add(name)
+        code = await self._fleet.group.terminate(name, STOP_TIMEOUT_S)
+        if code != CODE_STOPPED:
+            self._recorder.report(
+                'planned stops', f'{name} ended with {code} after a signal'
+            )
+            self._fleet.group.kill(name)
+        self._restart(name)
+        self._busy.discard(name)
+
+    async def pause_process(self, name, left_s, rng):
+        if not self._reserve(name):
+            return
+        self._fleet.group.send_signal(name, signal.SIGSTOP)
+        await asyncio.sleep(left_s)
+        self._fleet.group.send_signal(name, signal.SIGCONT)
+        self._busy.discard(name)
+
+    async def pause_leader(self, name, left_s, rng):
+        """Pause the leader for longer than its lease, with orders due."""
+        lease = self._fleet.store.get_spec('lease', 'leader')
+        leader = lease['holder'] if lease else ''
+        if leader not in self._fleet.keepers or not self._reserve(leader):
+            return
+        self._fleet.group.send_signal(leader, signal.SIGSTOP)
+        await self.name_version(name, left_s, rng)
+        await asyncio.sleep(LEADER_PAUSE_S + left_s / 2)
+        await self.name_version(name, left_s, rng)
+        self._fleet.group.send_signal(leader, signal.SIGCONT)
+        self._busy.discard(leader)
+
+    async def hang_up(self, name, left_s, rng):
+        if name not in self._busy:
+            self._fleet.group.send_signal(name, signal.SIGHUP)
+
+    # The store.
+
+    async def silence_store_for_one(self, name, left_s, rng):
+        directions = rng.choice([('to',), ('from',), ('to', 'from')])
+        self._fleet.store_relays[name].silence(directions)
+
+    async def refuse_store_for_some(self, name, left_s, rng):
+        relays = [
+            self._fleet.store_relays[name],
+            rng.choice(list(self._fleet.store_relays.values())),
+        ]
+        for path in relays:
+            path.refuses = True
+            path.cut()
+        await asyncio.sleep(left_s)
+        for path in relays:
+            path.refuses = False
+
+    async def delay_store(self, name, left_s, rng):
+        for path in self._fleet.store_relays.values():
+            path.delay_s = 0.1
+        await asyncio.sleep(left_s)
+        for path in self._fleet.store_relays.values():
+            path.delay_s = 0.0
+
+    async def refuse_calls_to_store(self, name, left_s, rng):
+        self._fleet.store.down = True
+        await asyncio.sleep(left_s)
+        self._fleet.store.down = False
+
+    async def lose_writes(self, name, left_s, rng):
+        self._fleet.store.lose_writes += 3
+
+    async def hold_writes(self, name, left_s, rng):
+        """Let some writes take effect later, without an answer."""
+        store = self._fleet.store
+        store.hold_kind = rng.choice(HELD_KINDS)
+        store.hold_writes += 2
+        await asyncio.sleep(left_s)
+        store.hold_writes = 0
+        store.apply_held_writes()
+
+    async def drop_history(self, name, left_s, rng):
+        self._fleet.store.forget_history()
+
+    # Disks.
+
+    async def fail_disk(self, name, left_s, rng):
+        """Put folders where the files of texts are."""
+        disk = self._fleet.get_disk(name)
+        for number in (0, 1):
+            path = disk / f'texts.{number}'
+            if path.is_dir():
+                continue
+            path.unlink(missing_ok=True)
+            path.mkdir()
+        await asyncio.sleep(left_s)
+        for number in (0, 1):
+            path = disk / f'texts.{number}'
+            if path.is_dir():
+                path.rmdir()
+
+    async def tear_disk(self, name, left_s, rng):
+        """Kill a keeper and leave the last record of its texts torn."""
+        if not self._reserve(name):
+            return
+        self._kill(name)
+        for path in self._fleet.get_disk(name).glob('texts.*'):
+            if path.is_file():
+                path.write_bytes(path.read_bytes()[:-7])
+        self._restart(name)
+        self._busy.discard(name)
+
+    # Endpoints.
+
+    async def fail_server(self, name, left_s, rng):
+        self._fleet.servers[name].fail_next += 5
+
+    async def shed_server(self, name, left_s, rng):
+        self._fleet.servers[name].shed = True
+        await asyncio.sleep(left_s)
+        self._fleet.servers[name].shed = False
+
+    async def lose_answers(self, name, left_s, rng):
+        self._fleet.servers[name].lose_answers += 2
+
+    async def break_stream(self, name, left_s, rng):
+        self._fleet.servers[name].break_after = 2
+
+    async def silence_server(self, name, left_s, rng):
+        directions = rng.choice([('to',), ('from',), ('to', 'from')])
+        self._fleet.server_relays[name].silence(directions)
+
+    async def cut_server(self, name, left_s, rng):
+        path = self._fleet.server_relays[name]
+        path.refuses = True
+        path.cut()
+        await asyncio.sleep(left_s)
+        path.refuses = False
+
+    async def limit_service(self, name, left_s, rng):
+        """Let all endpoints of a service name a limit of requests."""
+        service = name.rstrip('0123456789')
+        servers = [
+            server
+            for server in self._fleet.servers.values()
+            if server.name.startswith(service)
+        ]
+        if any(server.rate_limit is not None for server in servers):
+            return
+        for server in servers:
+            server.rate_limit = rng.uniform(*LIMIT_RATE)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await asyncio.sleep(LIMIT_MIN_S + left_s)
+        for server in servers:
+            self._recorder.limits.append(
+                load.Limit(server, server.rate_limit, started, loop.time())
+            )
+            server.rate_limit = None
+
+    # The operator and trainers.
+
+    async def name_version(self, name, left_s, rng):
+        current = self._fleet.store.get_spec('versions', 'm0')
+        version = current['version'] + 1 if current else 2
+        self._fleet.store.put(
+            'versions', 'm0', {'model': 'm0', 'version': version}
+        )
+
+    async def change_routes(self, name, left_s, rng):
+        self._version += 1
+        self._fleet.store.put(
+            'config', 'main', fleets.build_routes(self._version)
+        )
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -54,6 +54,7 @@
       response
     - ``hold_writes``: number of next writes that get no response and take
       effect only in :meth:`apply_held_writes`
+    - ``hold_kind``: start of the kinds whose writes are held
     - ``lose_watches``: number of next watches that get no response
     - ``page_size``: most objects on a page of a list
     - ``value_bytes``: largest spec of an object
@@ -68,6 +69,7 @@
         self.down = False
         self.lose_writes = 0
         self.hold_writes = 0
+        self.hold_kind = ''
         self.lose_watches = 0
         self.page_size = 500
         self.value_bytes = 1 << 20
@@ -138,7 +140,7 @@
         if method == 'GET':
             await self._read(incoming, kind, names, query)
             return
-        if self.hold_writes:
+        if self.hold_writes and kind.startswith(self.hold_kind):
             self.hold_writes -= 1
             self.held_writes.append((method, kind, parts[1:], incoming.body))
             await asyncio.sleep(60)
