Tell limits again to members that did not answer

What callers saw: an endpoint that takes 1.3 requests a second got 13 in 4 s, 12.9 allowed. A keeper had been paused when the limit was told; later it led and sent 10 probes to the endpoint at once.

Cause: a limit was told once to each member, and a keeper asked for limits only at its start. Each open submission of a new leader also probed the same engines by itself.

Change: a member is told until it has acknowledged a limit or is gone; a keeper asks others for limits each time before it leads; concurrent probes of an endpoint are one request.

--- a/src/clementineline/coordination/probing.py
+++ b/src/clementineline/coordination/probing.py
@@ -24,28 +24,45 @@
     :param log: logger
     """
 
-    __slots__ = ('_dialect', '_get_routes', '_log', '_pool')
+    __slots__ = ('_dialect', '_get_routes', '_log', '_pool', '_running')
 
     def __init__(self, pool, dialect, get_routes, log):
         self._dialect = dialect
         self._get_routes = get_routes
         self._log = log
         self._pool = pool
+        # Tasks by the state of the endpoint that they probe.
+        self._running = {}
 
     async def probe(self, states):
         """Probe the endpoints whose last load figure is not recent.
 
+        Concurrent calls share the probe of an endpoint.
+
         :param states: :class:`~directory.EndpointState` of each
         """
         now = asyncio.get_running_loop().time()
-        probes = []
+        probes = set()
         for state in states:
             if state.limit is not None:
                 # A probe would take the place of a request.
                 continue
             if now - state.load_at > LOAD_MAX_AGE_S / 2:
-                probes.append(self._probe_endpoint(state))
-        await asyncio.gather(*probes)
+                probes.add(self._get_probe(state))
+        if not probes:
+            return
+        # A caller that is cancelled leaves the probes to the others.
+        await asyncio.wait(probes)
+        for probe in probes:
+            probe.result()
+
+    def _get_probe(self, state):
+        probe = self._running.get(state)
+        if probe is None:
+            probe = asyncio.create_task(self._probe_endpoint(state))
+            self._running[state] = probe
+            probe.add_done_callback(lambda _: self._running.pop(state))
+        return probe
 
     async def _probe_endpoint(self, state):
         table = self._get_routes()
--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -134,6 +134,7 @@
         '_ranked_members',
         '_read_reply',
         '_tasks',
+        '_untold',
         'on_permit',
         'on_request',
     )
@@ -146,8 +147,10 @@
         self._logged_at = 0.0
         self._members = members
         self._name = name
-        # Limits that are about to be told to all members, by endpoint id.
+        # Limits that are about to be told to all members, by endpoint id,
+        # and those that a member has not acknowledged, by its name.
         self._news = {}
+        self._untold = {}
         self._peers = peers.PeerClients(members, ASK_BACKOFF_S)
         # Names of keepers by endpoint id, in the order of their rank, and
         # the members that they were computed from.
@@ -450,9 +453,7 @@
             if name == self._name:
                 self._note(endpoint_id, known, now)
                 return
-            limits = {endpoint_id: _encode_limit(known, now)}
-            answer = await self._ask_member(name, questions.TellLimits(limits))
-            if answer is not None:
+            if await self._tell(name, {endpoint_id: known}):
                 return
 
     def _note(self, endpoint_id, known, now):
@@ -468,17 +469,40 @@
     async def _tell_news(self):
         await asyncio.sleep(TELL_DELAY_S)
         news, self._news = self._news, {}
+        for name in self._members.addresses:
+            if name in self._untold:
+                self._untold[name].update(news)
+                continue
+            self._untold[name] = dict(news)
+            self._start(self._tell_member(name))
+
+    async def _tell_member(self, name):
+        """Tell a member limits until it has acknowledged them or is gone.
+
+        A process that is paused when a limit is named would otherwise send
+        requests beyond it later.
+        """
+        untold = self._untold[name]
+        try:
+            while untold and name in self._members.addresses:
+                told = dict(untold)
+                if not await self._tell(name, told):
+                    await asyncio.sleep(ASK_BACKOFF_S)
+                    continue
+                for endpoint_id, known in told.items():
+                    if untold[endpoint_id] is known:
+                        del untold[endpoint_id]
+        finally:
+            del self._untold[name]
+
+    async def _tell(self, name, limits):
+        """Tell a member limits; return whether it has acknowledged them."""
         now = asyncio.get_running_loop().time()
-        limits = {}
-        for endpoint_id, known in news.items():
-            limits[endpoint_id] = _encode_limit(known, now)
-        question = questions.TellLimits(limits)
-        await asyncio.gather(
-            *(
-                self._ask_member(name, question)
-                for name in self._members.addresses
-            )
-        )
+        stated = {}
+        for endpoint_id, known in limits.items():
+            stated[endpoint_id] = _encode_limit(known, now)
+        question = questions.TellLimits(stated)
+        return await self._ask_member(name, question) is not None
 
     def _learn(self, limits):
         now = asyncio.get_running_loop().time()
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -165,9 +165,7 @@
         try:
             while True:
                 if self._owner is None and self._may_lead():
-                    # The first items all start at once.
-                    if self._knows_limits:
-                        self._start_leading()
+                    await self._lead_within_limits()
                 elif (
                     self._owner is not None and self._lease.possibly_taken_over
                 ):
@@ -176,6 +174,18 @@
         finally:
             await self._stop_leading('leadership task ended')
 
+    async def _lead_within_limits(self):
+        """Start leading once the limits that others know are known.
+
+        The first items, reward calls and probes all start at once, and this
+        process may have been silent when the limits were told.
+        """
+        if not self._knows_limits:
+            return
+        await self._limits.gather()
+        if self._may_lead():
+            self._start_leading()
+
     def _start_leading(self):
         owner = submissionowner.SubmissionOwner(
             self._ledger,
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -316,6 +316,36 @@
             limited = keeper._limits.list_limited()
             assert [state.id for state in limited] == ['i-desk']
 
+    @pytest.mark.parametrize('name', ['gateway-3', 'keeper-1', 'keeper-2'])
+    async def test_silent_process_is_told_once_it_answers_again(
+        self, fleet, load, wait_until, name
+    ):
+        """It was paused when the endpoints first named their limits."""
+        desks = [fleet.servers['i-desk'], fleet.servers['i-desk2']]
+        paused = fleet.gateways.pop(name, None) or fleet.keepers[name]
+        answer = paused._answer_about_limits
+        paused._answer_about_limits = lambda question: asyncio.sleep(60)
+        for desk in desks:
+            desk.rate_limit = 4.0
+        await load.run('/live/a', 40, 1.0)
+        paused._answer_about_limits = answer
+        await wait_until(lambda: len(paused._limits.list_limited()) == 2, 5.0)
+
+    async def test_keeper_asks_for_limits_again_before_it_leads(
+        self, fleet, load, wait_until
+    ):
+        """It missed the limits although it has run for long."""
+        fleet.servers['i-desk'].rate_limit = 4.0
+        await load.run('/live/a', 40, 1.0)
+        former = fleet.find_leader()
+        (name,) = fleet.keepers.keys() - {former}
+        keeper = fleet.keepers[name]
+        keeper._directory.endpoints['i-desk'].limit = None
+        await fleet.keepers.pop(former)._tasks.stop()
+        await wait_until(lambda: fleet.find_leader() == name, 15.0)
+        limited = keeper._limits.list_limited()
+        assert [state.id for state in limited] == ['i-desk']
+
     @pytest.mark.parametrize(
         'name',
         ['gateway-1', 'gateway-2', 'gateway-3', 'keeper-1', 'keeper-2'],
