Let a keeper read the members and their limits before it leads

What callers saw: an endpoint that takes 1.4 requests a second got 14 in 4 s, 13.5 allowed. A leading keeper had been restarted while the store refused its calls and sent 16 reward calls at once.

Cause: a process was to start after 0.8 s even if it knew no others, counted from its start instead of from when the store was reached; and limits of endpoints that were not found yet were dropped.

Change: a keeper waits until it has read the members, at most 2 s after it has got its lease; early limits are kept until their endpoint is found.

--- a/src/clementineline/coordination/members.py
+++ b/src/clementineline/coordination/members.py
@@ -38,6 +38,7 @@
     :param store: the client of the platform's store
     :param log: logger
     :param zone: availability zone of this process
+    :ivar listed: event that is set once the other processes are known
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         '_store',
         'addresses',
         'keepers',
+        'listed',
         'zones',
     )
 
@@ -67,6 +69,7 @@
         self.keepers = set()
         self.addresses = {}
         self.zones = {}
+        self.listed = asyncio.Event()
 
     async def run(self):
         """Register, then refresh the list of the others until cancelled."""
@@ -85,6 +88,7 @@
             self._log.info('members not read', reason=str(error))
             return
         self._update(page.objects)
+        self.listed.set()
         if self._name not in {found.name for found in page.objects}:
             # The stale list may be older than the registration, so the
             # object itself is read before it is written again.
--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -44,6 +44,8 @@
 PERMIT_TTL_S = 0.5
 # Changes of limits within this time are told in one message.
 TELL_DELAY_S = 0.05
+# Limits on endpoints that are not found are kept for this time.
+EARLY_MAX_AGE_S = 30.0
 # An endpoint whose last response is older than this may no longer have its
 # limit. It gets a request even if other endpoints have none.
 RECHECK_S = 2.0
@@ -122,6 +124,7 @@
 
     __slots__ = (
         '_directory',
+        '_early',
         '_issuer',
         '_issues',
         '_log',
@@ -141,6 +144,9 @@
 
     def __init__(self, name, issues, members, directory, read_reply, log):
         self._directory = directory
+        # Limits of endpoints that this process has not found yet, by their
+        # id.
+        self._early = {}
         self._issuer = permits.PermitIssuer()
         self._issues = issues
         self._log = log
@@ -511,9 +517,22 @@
             state = self._directory.endpoints.get(endpoint_id)
             if state is not None:
                 self._apply(state, known)
+            else:
+                self._early[endpoint_id] = known
             if self._list_issuers(endpoint_id)[:1] == [self._name]:
                 self._note(endpoint_id, known, now)
 
+    def apply_early(self):
+        """Apply limits that were learned before their endpoint was found."""
+        now = asyncio.get_running_loop().time()
+        for endpoint_id, known in list(self._early.items()):
+            state = self._directory.endpoints.get(endpoint_id)
+            if state is not None:
+                self._apply(state, known)
+            elif now - known.named_at < EARLY_MAX_AGE_S:
+                continue
+            del self._early[endpoint_id]
+
     async def answer(self, question):
         """Answer another process.
 
--- a/src/clementineline/coordination/tests/test_ratelimits.py
+++ b/src/clementineline/coordination/tests/test_ratelimits.py
@@ -10,6 +10,7 @@
 from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.state import directory as records
+from clementineline.state import questions
 
 
 def build_response(limit=None, status=200):
@@ -77,3 +78,17 @@
         await wait_until(started.is_set, 5.0)
         assert not limit.asking
         assert limits.may_start(state)
+
+    async def test_limit_of_an_endpoint_that_is_found_later(
+        self, limits, state
+    ):
+        """A restarted process may ask others before it reads the endpoints."""
+        endpoints = limits._directory.endpoints
+        del endpoints[state.id]
+        stated = questions.StatedLimit(1.5, 0.1, 0.1)
+        await limits.answer(questions.TellLimits({state.id: stated}))
+        limits.apply_early()
+        assert not limits.list_limited()
+        endpoints[state.id] = state
+        limits.apply_early()
+        assert state.limit.known.rate == 1.5
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -22,10 +22,6 @@
 __all__ = ['BaseProcess']
 
 CLEANUP_INTERVAL_S = 1.0
-GATHER_CHECK_INTERVAL_S = 0.02
-GATHER_LATE_INTERVAL_S = 1.0
-# A process that knows no others starts its work after this time.
-GATHER_TIMEOUT_S = 0.8
 
 
 class BaseProcess:
@@ -97,8 +93,6 @@
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
         )
-        self._limits_gathered = False
-        self._started_at = 0.0
         self._limits.on_request = self._count_endpoint_request
         self._stopping = False
 
@@ -137,7 +131,6 @@
 
     async def _start_base(self):
         """Watch the store and listen for other processes."""
-        self._started_at = asyncio.get_running_loop().time()
         self._tasks.supervise(self._route_watcher.run, 'routes')
         self._tasks.supervise(self._endpoint_watcher.run, 'endpoints')
         self._tasks.supervise(self._clean_up, 'cleanup')
@@ -175,6 +168,7 @@
             directory.LAPSED_ENTRY_GRACE_S
         )
         self._directory.apply(objects, removed, whole, recently_unreachable)
+        self._limits.apply_early()
 
     def _apply_routes(self, objects, removed, whole):
         if self._routes.apply(objects):
@@ -193,21 +187,8 @@
 
     async def _gather_limits(self):
         """Learn the limits of endpoints that others know at the start."""
-        interval_s = GATHER_CHECK_INTERVAL_S
-        while not self._members.keepers or not self._directory.endpoints:
-            if self._knows_limits:
-                interval_s = GATHER_LATE_INTERVAL_S
-            await asyncio.sleep(interval_s)
+        await self._members.listed.wait()
         await self._limits.gather()
-        self._limits_gathered = True
-
-    @property
-    def _knows_limits(self):
-        """Whether the limits that others know were learned, or are late."""
-        if self._limits_gathered:
-            return True
-        age_s = asyncio.get_running_loop().time() - self._started_at
-        return age_s > GATHER_TIMEOUT_S
 
     async def _serve_peer(self, stream):
         await asking.serve_questions(
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -27,6 +27,8 @@
 LEADERSHIP_CHECK_INTERVAL_S = 0.05
 SUBMISSIONS_WATCH_WAIT_S = 1.5
 RETIREMENT_CHECK_INTERVAL_S = 0.5
+# A keeper that cannot read who the other processes are leads after this time.
+MEMBERS_TIMEOUT_S = 2.0
 # Longer than for other kinds: a VM has seconds to retire, and holds no state
 # that must be moved.
 RETIREMENTS_WATCH_WAIT_S = 8.0
@@ -180,8 +182,13 @@
         The first items, reward calls and probes all start at once, and this
         process may have been silent when the limits were told.
         """
-        if not self._knows_limits:
-            return
+        try:
+            async with asyncio.timeout(MEMBERS_TIMEOUT_S):
+                await self._members.listed.wait()
+        except TimeoutError:
+            self._log.warning(
+                'limits of endpoints not asked for', reason='members not read'
+            )
         await self._limits.gather()
         if self._may_lead():
             self._start_leading()
--- a/src/clementineline/platform/tests/test_limits.py
+++ b/src/clementineline/platform/tests/test_limits.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from clementineline.coordination import members
 from clementineline.coordination import ratelimits
 from clementineline.coordination import rendezvous
 from clementineline.platform.tests import standin
@@ -239,10 +240,13 @@
         await load.run('/live/a', 40, WINDOW_S)
         assert count_busiest(desk, since) <= count_allowed(2.0)
 
+    @pytest.mark.parametrize('store_down_s', [0.0, 0.9])
     async def test_restarted_leader_has_many_reward_calls_due(
-        self, fleet, wait_until
+        self, fleet, wait_until, monkeypatch, store_down_s
     ):
         """The texts of a step were complete when its leader was killed."""
+        # After an outage, texts are gathered from the members at once.
+        monkeypatch.setattr(members, 'REGISTER_RETRY_S', 0.1)
         # Each keeper, the killed one too, divides the limit of one of them.
         await fleet.start_server('i-desk3', 'desk')
         desks = [
@@ -273,7 +277,10 @@
         await asyncio.sleep(NOTICE_S)
         # The process that was killed finds its own lease at its restart.
         await fleet.keepers.pop(leader)._tasks.stop()
+        fleet.store.down = store_down_s > 0
         await fleet.start_keeper(leader)
+        await asyncio.sleep(store_down_s)
+        fleet.store.down = False
         await wait_until(lambda: fleet.find_leader() == leader)
         await asyncio.sleep(WINDOW_S)
         for desk in desks:
@@ -312,7 +319,7 @@
         for name in names:
             await fleet.start_keeper(name)
         for keeper in fleet.keepers.values():
-            await wait_until(lambda keeper=keeper: keeper._knows_limits)
+            await wait_until(keeper._limits.list_limited, 0.8)
             limited = keeper._limits.list_limited()
             assert [state.id for state in limited] == ['i-desk']
 
