Soak: check that routes never go back and ledgers keep what was read

A gateway that has used a version of the routes is asked for routes that are gone. After the last fault all keepers are killed and all results read again.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -38,14 +38,19 @@
     try:
         await fleet.start()
         callers = load.Callers(sender, recorder)
+        watcher = load.RouteWatcher(sender, recorder, fleet)
         async with asyncio.TaskGroup() as group:
             group.create_task(callers.run(stopping))
+            group.create_task(watcher.run(stopping))
             group.create_task(trainer.run(stopping))
             await injector.run(duration_s)
             await fleet.wait_until_ready()
             stopping.set()
         for name in fleet.list_ended():
             recorder.report('processes run on', f'{name} ended by itself')
+        # What keepers have only in memory may differ from the ledger.
+        fleet.restart_keepers()
+        await trainer.read_all_again()
     finally:
         await fleet.stop()
     recorder.check_runs(fleet.servers.values())
