Soak: late readers, slower engines and writes that take effect late

Every second trainer now begins to read 5 s later, engines differ more, and writes of results go unanswered for some seconds.

--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -16,10 +16,13 @@
 LIMIT_MIN_S = 8.0
 # Longer than the lease, so that another keeper leads meanwhile.
 LEADER_PAUSE_S = 4.5
+# Time within which a leader orders a named version.
+ORDER_MAX_S = 0.3
 HELD_KINDS = ('results-', 'results-', 'lease', 'submissions', '')
-# Shorter than the time after which a write is repeated.
-UNANSWERED_MAX_S = 0.9
-POLL_S = 0.01
+# Writes of results that stay without an answer, and the time until they take
+# effect. A write is also tried through other processes meanwhile.
+UNANSWERED_WRITES = 40
+UNANSWERED_S = (1.5, 4.0)
 STOP_TIMEOUT_S = 20.0
 # The exit code after a stop signal.
 CODE_STOPPED = 0
@@ -50,6 +53,8 @@
             self.kill_process,
             self.stop_process,
             self.pause_process,
+            # More often, since a stale leader acts only for a moment.
+            self.pause_leader,
             self.pause_leader,
             self.hang_up,
             self.kill_all_keepers,
@@ -73,7 +78,7 @@
             self.name_version,
             self.change_routes,
         ]
-        # Each kind comes once before any comes twice.
+        # Each one comes once before any comes again.
         order = []
         async with asyncio.TaskGroup() as group:
             while loop.time() - started < duration_s:
@@ -172,8 +177,9 @@
         leader = lease['holder'] if lease else ''
         if leader not in self._fleet.keepers or not self._reserve(leader):
             return
-        self._fleet.group.send_signal(leader, signal.SIGSTOP)
         await self.name_version(name, left_s, rng)
+        await asyncio.sleep(rng.uniform(0.0, ORDER_MAX_S))
+        self._fleet.group.send_signal(leader, signal.SIGSTOP)
         await asyncio.sleep(LEADER_PAUSE_S + left_s / 2)
         await self.name_version(name, left_s, rng)
         self._fleet.group.send_signal(leader, signal.SIGCONT)
@@ -226,20 +232,17 @@
         store.apply_held_writes()
 
     async def apply_unanswered(self, name, left_s, rng):
-        """Let a write of results take effect without an answer.
+        """Let writes of results take effect late, in order, unanswered.
 
-        It does so before the writer repeats it with more results.
+        Their writer meets them when it writes again, with more results.
         """
         store = self._fleet.store
         if store.hold_writes or store.held_writes:
             return
         store.hold_kind = 'results-'
-        store.hold_writes = 1
-        while store.hold_writes and left_s > 0:
-            await asyncio.sleep(POLL_S)
-            left_s -= POLL_S
+        store.hold_writes = UNANSWERED_WRITES
+        await asyncio.sleep(rng.uniform(*UNANSWERED_S))
         store.hold_writes = 0
-        await asyncio.sleep(rng.uniform(0.0, UNANSWERED_MAX_S))
         store.apply_held_writes()
 
     async def drop_history(self, name, left_s, rng):
--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -20,9 +20,9 @@
 READY_PORT = 8167
 PEER_PORT = 7720
 START_TIMEOUT_S = 20.0
-# Time for an event at the fastest endpoint; the others are slower, so that the
-# results of a submission come one after the other.
-EVENT_S = 0.03
+# Time for an event at the fastest engine; the others take 4 and 9 times as
+# long, so that the results of a submission come one after the other.
+EVENT_S = 0.06
 # Time between a stop signal and the kill.
 GRACE_S = 8.0
 
@@ -146,7 +146,7 @@
         server = SoakServer(self.log, name, versions)
         self._place(server)
         await server.start()
-        server.gap_s = EVENT_S * (len(self.servers) + 1)
+        server.gap_s = EVENT_S * int(name[-1]) ** 2
         path = relay.Relay(frames.parse_address(server.address))
         await path.start()
         self.servers[name] = server
--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -26,6 +26,8 @@
 SUBMIT_INTERVAL_S = 1.0
 ITEMS_PER_SUBMISSION = 8
 READ_INTERVAL_S = 0.1
+# Time until some trainers begin to read.
+LATE_READ_S = 5.0
 # Time after which a result that was read is listed by all gateways.
 SETTLE_S = 1.0
 # Time after the last fault within which accepted work must be complete.
@@ -299,6 +301,10 @@
             await self._submit(submission_id, number)
             accepted = True
             self.accepted += 1
+            if number % 2:
+                # Without reads, the owner learns of late writes only from
+                # its next one.
+                await asyncio.sleep(LATE_READ_S)
             while len(listed) < ITEMS_PER_SUBMISSION:
                 results = await self._list_results(submission_id, len(listed))
                 listed.extend(results or ())
