Soak: callers with kept connections, and no processes that outlive it

Callers that keep their connections are part of the load: a request that ran although its gateway, which was not killed, closed the connection without an answer breaks a promise.

A soak that was ended by a signal left its gateways and keepers.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -5,14 +5,17 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 
 import structlog
 
+from clementineline.platform.tests.soak import checks
 from clementineline.platform.tests.soak import faults
 from clementineline.platform.tests.soak import fleet as fleets
 from clementineline.platform.tests.soak import load
+from clementineline.platform.tests.soak import trainers
 
 __all__ = ['main', 'run_seed']
 
@@ -30,17 +33,21 @@
         )
     )
     fleet = fleets.Fleet(folder, gateways, keepers, structlog.get_logger())
-    recorder = load.Recorder()
+    recorder = checks.Recorder()
     injector = faults.FaultInjector(fleet, recorder, random.Random(seed))
     sender = load.Sender(fleet, random.Random(seed + 1))
-    trainer = load.Trainer(sender, recorder, fleet, random.Random(seed + 2))
+    trainer = trainers.Trainer(
+        sender, recorder, fleet, random.Random(seed + 2)
+    )
     stopping = asyncio.Event()
     try:
         await fleet.start()
         callers = load.Callers(sender, recorder)
+        kept = load.KeptCallers(recorder, fleet)
         watcher = load.RouteWatcher(sender, recorder, fleet)
         async with asyncio.TaskGroup() as group:
             group.create_task(callers.run(stopping))
+            group.create_task(kept.run(stopping))
             group.create_task(watcher.run(stopping))
             group.create_task(trainer.run(stopping))
             await injector.run(duration_s)
@@ -80,6 +87,8 @@
     parser.add_argument('--keepers', type=int, default=3)
     parser.add_argument('--faults', action='store_true', help='list faults')
     options = parser.parse_args(arguments)
+    # Without this, the gateways and keepers would outlive the soak.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     broken = []
     for seed in range(options.seed, options.seed + options.seeds):
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
--- /dev/null
+++ b/src/clementineline/platform/tests/soak/checks.py
@@ -0,0 +1,103 @@
+"""What callers, trainers and endpoints of a soak must never see."""
+
+import collections
+import dataclasses
+
+__all__ = ['Limit', 'Recorder']
+
+# A limit is kept from this time after it was first named.
+LIMIT_NOTICE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """A limit that an endpoint named for some time.
+
+    :param server: the :class:`~fleet.SoakServer`
+    :param rate: requests a second
+    :param started: loop time of its start, in seconds
+    :param ended: loop time of its end, in seconds
+    """
+
+    server: object
+    rate: float
+    started: float
+    ended: float
+
+
+class Recorder:
+    """Violations of promises, and the outcomes that they are found in.
+
+    :ivar violations: texts
+    :ivar statuses: number of responses to calls by kind and status
+    :ivar refused: ids of the requests that were refused as not run
+    :ivar unsafe_ids: ids of the requests that must not run twice
+    :ivar unanswered: gateways by the id of a request whose connection they
+        closed without an answer, although they were not killed
+    :ivar limits: each :class:`Limit` that has ended
+    """
+
+    def __init__(self):
+        self.limits = []
+        self.violations = []
+        self.statuses = collections.Counter()
+        self.refused = set()
+        self.unsafe_ids = set()
+        self.unanswered = {}
+
+    def report(self, promise, text):
+        self.violations.append(f'{promise}: {text}')
+
+    def check_runs(self, servers):
+        """Compare what ran at the endpoints with what callers were told."""
+        runs = collections.Counter()
+        for server in servers:
+            runs.update(server.run_ids)
+        for request_id in sorted(self.refused):
+            if runs[request_id]:
+                self.report(
+                    'true not-run', f'{request_id} was refused, and ran'
+                )
+        for request_id in sorted(self.unsafe_ids):
+            if runs[request_id] > 1:
+                self.report(
+                    'at most once',
+                    f'{request_id} ran {runs[request_id]} times',
+                )
+
+        for request_id, name in self.unanswered.items():
+            if runs[request_id]:
+                self.report(
+                    'complete answers',
+                    f'{request_id} ran, and {name} closed its connection '
+                    'without an answer',
+                )
+
+    def check_limits(self):
+        """Count all requests, of all processes, to endpoints with a limit."""
+        for limit in self.limits:
+            allowed = 1.5 * limit.rate * LIMIT_WINDOW_S + 5
+            window = collections.deque()
+            most = 0
+            for time in limit.server.arrivals:
+                if not limit.started + LIMIT_NOTICE_S < time < limit.ended:
+                    continue
+                window.append(time)
+                while time - window[0] > LIMIT_WINDOW_S:
+                    window.popleft()
+                most = max(most, len(window))
+            if most > allowed:
+                self.report(
+                    'limits',
+                    f'{limit.server.name} got {most} requests in '
+                    f'{LIMIT_WINDOW_S} s, {allowed:.1f} allowed',
+                )
+
+    def check_orders(self, servers):
+        """Check that no order of an earlier leader follows a later one's."""
+        for server in servers:
+            if server.fences != sorted(server.fences):
+                self.report(
+                    'one leader', f'{server.name} got fences {server.fences}'
+                )
--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 
-from clementineline.platform.tests.soak import load
+from clementineline.platform.tests.soak import checks
 
 __all__ = ['FaultInjector']
 
@@ -32,7 +32,7 @@
     """Injects overlapping faults and ends each of them.
 
     :param fleet: the :class:`~fleet.Fleet`
-    :param recorder: the :class:`~load.Recorder`
+    :param recorder: the :class:`~checks.Recorder`
     :param rng: random number generator; the same seed gives the same faults
     :ivar injected: ``(seconds, fault, target)`` of each fault
     """
@@ -128,25 +128,18 @@
     async def kill_process(self, name, left_s, rng):
         if not self._reserve(name):
             return
-        self._kill(name)
+        self._fleet.kill(name)
         await asyncio.sleep(left_s)
-        self._restart(name)
-        self._busy.discard(name)
-
-    def _kill(self, name):
-        self._fleet.stopped.add(name)
-        self._fleet.group.kill(name)
-
-    def _restart(self, name):
         self._fleet.restart(name)
+        self._busy.discard(name)
 
     async def kill_all_keepers(self, name, left_s, rng):
         names = [name for name in self._fleet.keepers if self._reserve(name)]
         for name in names:
-            self._kill(name)
+            self._fleet.kill(name)
         await asyncio.sleep(left_s / 2)
         for name in names:
-            self._restart(name)
+            self._fleet.restart(name)
             self._busy.discard(name)
 
     async def stop_process(self, name, left_s, rng):
@@ -159,8 +152,8 @@
             self._recorder.report(
                 'planned stops', f'{name} ended with {code} after a signal'
             )
-            self._fleet.group.kill(name)
-        self._restart(name)
+            self._fleet.kill(name)
+        self._fleet.restart(name)
         self._busy.discard(name)
 
     async def pause_process(self, name, left_s, rng):
@@ -269,11 +262,11 @@
         """Kill a keeper and leave the last record of its texts torn."""
         if not self._reserve(name):
             return
-        self._kill(name)
+        self._fleet.kill(name)
         for path in self._fleet.get_disk(name).glob('texts.*'):
             if path.is_file():
                 path.write_bytes(path.read_bytes()[:-7])
-        self._restart(name)
+        self._fleet.restart(name)
         self._busy.discard(name)
 
     # Endpoints.
@@ -320,7 +313,7 @@
         await asyncio.sleep(LIMIT_MIN_S + left_s)
         for server in servers:
             self._recorder.limits.append(
-                load.Limit(server, server.rate_limit, started, loop.time())
+                checks.Limit(server, server.rate_limit, started, loop.time())
             )
             server.rate_limit = None
 
--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -104,6 +104,8 @@
         self.store_relays = {}
         self.gateways = [f'gateway-{n}' for n in range(1, gateways + 1)]
         self.keepers = [f'keeper-{n}' for n in range(1, keepers + 1)]
+        # Loop times of the last kill, by name.
+        self._killed_at = {}
         # Processes that were told to end.
         self.stopped = set()
         # Loopback addresses of this run; other runs use other ones.
@@ -224,11 +226,23 @@
         self.group.restart(name)
         self.stopped.discard(name)
 
+    def kill(self, name):
+        """Kill a process."""
+        self.stopped.add(name)
+        self._killed_at[name] = asyncio.get_running_loop().time()
+        self.group.kill(name)
+
+    def was_killed(self, name, since):
+        """Return whether a process was killed after some time.
+
+        :param since: loop time, in seconds
+        """
+        return self._killed_at.get(name, 0.0) > since
+
     def restart_keepers(self):
         """Kill all keepers at the same time and start them again."""
         for name in self.keepers:
-            self.stopped.add(name)
-            self.group.kill(name)
+            self.kill(name)
         for name in self.keepers:
             self.restart(name)
 
