--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -23,6 +23,8 @@
 # Time for an event at the fastest engine; the others take 4 and 9 times as
 # long, so that the results of a submission come one after the other.
 EVENT_S = 0.06
+# Time for a call, so that some are open at each fault.
+CALL_S = 0.04
 # Time between a stop signal and the kill.
 GRACE_S = 8.0
 
@@ -43,6 +45,7 @@
 
     async def _run(self, incoming, request_id, headers, echo):
         self.run_ids.append(request_id)
+        await asyncio.sleep(CALL_S)
         await super()._run(incoming, request_id, headers, echo)
 
     async def _stream(self, incoming, headers, response_headers, model):
