--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -49,44 +49,16 @@
         """Inject faults for some time, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         started = loop.time()
-        kinds = [
-            self.kill_process,
-            self.stop_process,
-            self.pause_process,
-            # More often, since a stale leader acts only for a moment.
-            self.pause_leader,
-            self.pause_leader,
-            self.hang_up,
-            self.kill_all_keepers,
-            self.silence_store_for_one,
-            self.refuse_store_for_some,
-            self.delay_store,
-            self.refuse_calls_to_store,
-            self.lose_writes,
-            self.hold_writes,
-            self.apply_unanswered,
-            self.drop_history,
-            self.fail_disk,
-            self.tear_disk,
-            self.fail_server,
-            self.shed_server,
-            self.lose_answers,
-            self.break_stream,
-            self.silence_server,
-            self.cut_server,
-            self.limit_service,
-            self.name_version,
-            self.change_routes,
-        ]
+        kinds = self._list_kinds()
         # Each one comes once before any comes again.
         order = []
         async with asyncio.TaskGroup() as group:
             while loop.time() - started < duration_s:
                 if not order:
                     order = self._rng.sample(kinds, len(kinds))
-                inject = order.pop()
+                inject, targets = order.pop()
                 left_s = self._rng.uniform(*DURATION_S)
-                target = self._choose_target(inject)
+                target = self._rng.choice(targets)
                 self.injected.append(
                     (
                         round(loop.time() - started, 2),
@@ -100,21 +72,47 @@
                 group.create_task(inject(target, left_s, rng))
                 await asyncio.sleep(self._rng.uniform(*GAP_S))
 
-    def _choose_target(self, inject):
-        """Return the name that a fault needs: a process or an endpoint."""
-        name = inject.__name__
-        if 'disk' in name:
-            return self._rng.choice(self._fleet.keepers)
-        if name == 'break_stream':
-            return self._rng.choice(['i-lm1', 'i-lm2', 'i-lm3'])
-        if name == 'lose_answers':
-            return self._rng.choice(['i-desk1', 'i-desk2', 'i-desk3'])
-        if 'serv' in name:
-            return self._rng.choice(sorted(self._fleet.servers))
-        return self._rng.choice(self._fleet.names)
+    def _list_kinds(self):
+        """Return pairs of a fault and the names that it may be for."""
+        processes, keepers = self._fleet.names, self._fleet.keepers
+        servers = sorted(self._fleet.servers)
+        engines = [name for name in servers if name.startswith('i-lm')]
+        desks = [name for name in servers if name.startswith('i-desk')]
+        return [
+            (self.kill_process, processes),
+            (self.stop_process, processes),
+            (self.pause_process, processes),
+            # More often, since a stale leader acts only for a moment.
+            (self.pause_leader, keepers),
+            (self.pause_leader, keepers),
+            (self.hang_up, processes),
+            (self.kill_all_keepers, keepers),
+            (self.silence_store_for_one, processes),
+            (self.refuse_store_for_some, processes),
+            (self.delay_store, processes),
+            (self.refuse_calls_to_store, processes),
+            (self.lose_writes, processes),
+            (self.hold_writes, processes),
+            (self.apply_unanswered, processes),
+            (self.drop_history, processes),
+            (self.fail_disk, keepers),
+            (self.tear_disk, keepers),
+            (self.fail_server, servers),
+            (self.shed_server, servers),
+            (self.lose_answers, desks),
+            (self.break_stream, engines),
+            (self.silence_server, servers),
+            (self.cut_server, servers),
+            (self.limit_service, servers),
+            (self.name_version, servers),
+            (self.change_routes, processes),
+        ]
 
     def _reserve(self, name):
-        """Reserve a process for a fault; one gateway stays without any."""
+        """Reserve a process for a fault; one gateway stays without any.
+
+        :returns: whether the process has no other fault
+        """
         if name in self._busy:
             return False
         idle = set(self._fleet.gateways) - self._busy - {name}
