Keep the newest of the early limits that members tell

Cause: a process that asks several members for limits before it has found the endpoints kept the last answer, which may be older than another one. Found by reading. The new test failed before: 1.5 requests a second instead of 0.5.

--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -518,10 +518,15 @@
             if state is not None:
                 self._apply(state, known)
             else:
-                self._early[endpoint_id] = known
+                self._note_early(endpoint_id, known)
             if self._list_issuers(endpoint_id)[:1] == [self._name]:
                 self._note(endpoint_id, known, now)
 
+    def _note_early(self, endpoint_id, known):
+        before = self._early.get(endpoint_id)
+        if before is None or before.named_at < known.named_at:
+            self._early[endpoint_id] = known
+
     def apply_early(self):
         """Apply limits that were learned before their endpoint was found."""
         now = asyncio.get_running_loop().time()
--- a/src/clementineline/coordination/tests/test_ratelimits.py
+++ b/src/clementineline/coordination/tests/test_ratelimits.py
@@ -105,6 +105,19 @@
         limits.apply_early()
         assert state.limit.known.rate == 1.5
 
+    async def test_newest_limit_of_an_endpoint_that_is_found_later(
+        self, limits, state
+    ):
+        """Members may answer with limits of different ages."""
+        endpoints = limits._directory.endpoints
+        del endpoints[state.id]
+        for rate, age_s in ((0.5, 0.1), (1.5, 2.0)):
+            stated = questions.StatedLimit(rate, age_s, 5.0)
+            await limits.answer(questions.TellLimits({state.id: stated}))
+        endpoints[state.id] = state
+        limits.apply_early()
+        assert state.limit.known.rate == 0.5
+
 
 class TestTelling:
     """A keeper tells the other members the limits of endpoints."""
