Make the telling of limits a module of its own

No behaviour changes: the messages, their delay and the time between repeats are those of ratelimits.py.

--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -4,7 +4,8 @@
 endpoint with a limit therefore needs a permit of the keeper that divides the
 limit, see :mod:`~clementineline.coordination.permits`. The keeper is chosen by
 rendezvous hashing over the members. It also tells the limit to all other
-processes, before each of them learns it from a response.
+processes, see :mod:`~clementineline.coordination.telling`, before each of them
+learns it from a response.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from clementineline.coordination import peers
 from clementineline.coordination import permits
 from clementineline.coordination import rendezvous
+from clementineline.coordination import telling
 from clementineline import errors
 from clementineline.state import questions
 
@@ -32,7 +34,6 @@
 PASS_ON_TIMEOUT_S = 0.1
 # A new leader waits for the answers, so silent keepers may not delay it.
 READ_LIMITS_TIMEOUT_S = 0.1
-ASK_BACKOFF_S = 2.0
 # Limit on the keepers that are asked for one permit.
 ISSUERS_MAX = 3
 # Limits on the keepers and the other processes that a new process asks for the
@@ -42,8 +43,6 @@
 # Permits count at the keeper from their issue on, so they may not be used
 # much later.
 PERMIT_TTL_S = 0.5
-# Changes of limits within this time are told in one message.
-TELL_DELAY_S = 0.05
 # Limits on endpoints that are not found are kept for this time.
 EARLY_MAX_AGE_S = 30.0
 # An endpoint whose last response is older than this may no longer have its
@@ -131,13 +130,12 @@
         '_logged_at',
         '_members',
         '_name',
-        '_news',
         '_peers',
         '_ranked',
         '_ranked_members',
         '_read_reply',
         '_tasks',
-        '_untold',
+        '_teller',
         'on_permit',
         'on_request',
     )
@@ -153,17 +151,16 @@
         self._logged_at = 0.0
         self._members = members
         self._name = name
-        # Limits that are about to be told to all members, by endpoint id,
-        # and those that a member has not acknowledged, by its name.
-        self._news = {}
-        self._untold = {}
-        self._peers = peers.PeerClients(members, ASK_BACKOFF_S)
+        self._peers = peers.PeerClients(members, telling.BACKOFF_S)
         # Names of keepers by endpoint id, in the order of their rank, and
         # the members that they were computed from.
         self._ranked = {}
         self._ranked_members = None
         self._read_reply = read_reply
         self._tasks = set()
+        self._teller = telling.LimitTeller(
+            members, self._ask_member, self._start
+        )
         self.on_permit = lambda: None
         self.on_request = lambda purpose: None
 
@@ -348,7 +345,7 @@
         """
         now = asyncio.get_running_loop().time()
         question = questions.RequestPermit(
-            state.id, _encode_limit(limit.known, now), wait_s, bulk
+            state.id, telling.encode_limit(limit.known, now), wait_s, bulk
         )
         for name in self._list_issuers(state.id):
             if name == self._name:
@@ -358,7 +355,7 @@
             if not isinstance(answer, questions.PermitAnswer):
                 continue
             now = asyncio.get_running_loop().time()
-            self._apply(state, _decode_limit(answer.limit, now))
+            self._apply(state, telling.decode_limit(answer.limit, now))
             return permits.Permit(answer.granted, answer.delay_s)
         # Without any keeper, each process uses an equal part of the limit.
         processes = len(self._members.addresses) + 1
@@ -389,7 +386,7 @@
         """
         endpoint_id = question.endpoint_id
         now = asyncio.get_running_loop().time()
-        known = _decode_limit(question.limit, now)
+        known = telling.decode_limit(question.limit, now)
         self._note(endpoint_id, known, now)
         passed_on = question.passed_on
         if not passed_on and not self._is_only_issuer(endpoint_id, now):
@@ -401,7 +398,7 @@
             endpoint_id, known, now, question.wait_s, question.bulk
         )
         return questions.PermitAnswer(
-            permit.granted, permit.delay_s, _encode_limit(known, now)
+            permit.granted, permit.delay_s, telling.encode_limit(known, now)
         )
 
     async def _pass_on(self, question):
@@ -459,61 +456,20 @@
             if name == self._name:
                 self._note(endpoint_id, known, now)
                 return
-            if await self._tell(name, {endpoint_id: known}):
+            if await self._teller.tell(name, {endpoint_id: known}):
                 return
 
     def _note(self, endpoint_id, known, now):
         """Note a limit as the issuer, and tell it to all members if new."""
         if not self._issuer.note(endpoint_id, known, now):
             return
-        if not self._issues:
-            return
-        if not self._news:
-            self._start(self._tell_news())
-        self._news[endpoint_id] = known
-
-    async def _tell_news(self):
-        await asyncio.sleep(TELL_DELAY_S)
-        news, self._news = self._news, {}
-        for name in self._members.addresses:
-            if name in self._untold:
-                self._untold[name].update(news)
-                continue
-            self._untold[name] = dict(news)
-            self._start(self._tell_member(name))
-
-    async def _tell_member(self, name):
-        """Tell a member limits until it has acknowledged them or is gone.
-
-        A process that is paused when a limit is named would otherwise send
-        requests beyond it later.
-        """
-        untold = self._untold[name]
-        try:
-            while untold and name in self._members.addresses:
-                told = dict(untold)
-                if not await self._tell(name, told):
-                    await asyncio.sleep(ASK_BACKOFF_S)
-                    continue
-                for endpoint_id, known in told.items():
-                    if untold[endpoint_id] is known:
-                        del untold[endpoint_id]
-        finally:
-            del self._untold[name]
-
-    async def _tell(self, name, limits):
-        """Tell a member limits; return whether it has acknowledged them."""
-        now = asyncio.get_running_loop().time()
-        stated = {}
-        for endpoint_id, known in limits.items():
-            stated[endpoint_id] = _encode_limit(known, now)
-        question = questions.TellLimits(stated)
-        return await self._ask_member(name, question) is not None
+        if self._issues:
+            self._teller.tell_all(endpoint_id, known)
 
     def _learn(self, limits):
         now = asyncio.get_running_loop().time()
         for endpoint_id, stated in limits.items():
-            known = _decode_limit(stated, now)
+            known = telling.decode_limit(stated, now)
             state = self._directory.endpoints.get(endpoint_id)
             if state is not None:
                 self._apply(state, known)
@@ -551,7 +507,7 @@
         now = asyncio.get_running_loop().time()
         limits = {}
         for endpoint_id, known in self._list_known().items():
-            limits[endpoint_id] = _encode_limit(known, now)
+            limits[endpoint_id] = telling.encode_limit(known, now)
         return questions.LimitsAnswer(limits)
 
     def _list_known(self):
@@ -577,16 +533,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             self._log.error('limits task failed', exc_info=task.exception())
-
-
-def _encode_limit(known, now):
-    """Encode a limit with durations, since processes compare no clocks."""
-    return questions.StatedLimit(
-        known.rate, now - known.named_at, now - known.since
-    )
-
-
-def _decode_limit(stated, now):
-    return permits.KnownLimit(
-        stated.rate, now - stated.age_s, now - stated.lasted_s
-    )
