--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
-"""An entry of another writer among the servers that cannot be read."""
+"""A keeper that leads again after another one led and stopped unseen."""
 
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 
@@ -10,189 +11,173 @@
 
 from clementineline.platform.tests import standin  # noqa: E402
 from common import deployment  # noqa: E402
-from common import wire  # noqa: E402
-
-DRAIN_S = deployment.BOUNDS['drainMs'] / 1000
-WORK_S = 0.03
-SLOTS = 6
-# How long a leaving server goes on after its entry says that it leaves, at
-# times many seconds.
-LINGER_S = 8.0
-REQUEST_GAP_S = 0.05
-SETTLE_S = 5.0
-# Between the foreign entry and the planned departure of a server.
-CALM_S = 6.0
-
-
-class Server:
-    """A sound plain service that records when requests reach it."""
-
-    def __init__(self, name, record):
-        self.name = name
+from common import trainer  # noqa: E402
+
+# 'node_freeze' stands still for 5 s unless the day says otherwise.
+FREEZE_MAX_S = 5.0
+ROUNDS = 6
+ROUND_S = 10.5
+ITEMS = 16
+EVENTS = 12
+EVENT_S = 0.05
+READ_GAP_S = 0.25
+# Time from the submission to the freeze.
+FREEZE_AFTER_S = 0.45
+# How often a lot is read again from the start at each gateway, and the pause.
+CHECKS = 4
+CHECK_GAP_S = 0.7
+
+
+class Drill:
+    """The deployment, the trainer and the rounds of the case."""
+
+    def __init__(self, fleet, record):
+        self.fleet = fleet
         self.record = record
-        self.port = standin.find_free_port()
-        self.address = f'127.0.0.1:{self.port}'
-        # Times at which requests reached it, probes not counted.
-        self.reached = []
-        self.closed = False
-
-    async def start(self):
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self.port
-        )
-
-    def end(self):
-        self.closed = True
-        self._server.close()
-        self.record.add(self.name, 'has left')
-
-    def describe(self, state='ready'):
-        return {
-            'service': 'desk',
-            'address': self.address,
-            'zone': 'walvis-a',
-            'version': 'v1',
-            'slots': SLOTS,
-            'state': state,
-            'coldLeftMs': 0,
-            'seq': 1,
-            'born': 1700000000000,
+        self.gateways = ['front-walvis-a-1', 'front-swakop-b-1']
+        self.keepers = {
+            'store-walvis-a-1': 'walvis-a',
+            'store-swakop-b-1': 'swakop-b',
+            'store-langstrand-c-1': 'langstrand-c',
         }
+        self.lots = []
 
-    async def _serve(self, reader, writer):
+    async def start(self):
+        fleet = self.fleet
+        await fleet.store.start()
+        fleet.store.put('config', 'main', standin.build_manifest(3))
+        self.engines = []
+        for number in range(3):
+            engine = standin.ServerStandIn(
+                deployment.StandInLog(), f'i-lm{number}', {'m0': 1, 'm1': 1}
+            )
+            engine.events = EVENTS
+            engine.gap_s = EVENT_S
+            await engine.start()
+            self.engines.append(engine)
+            entry = engine.describe('lm', zone=list(deployment.ZONES)[number])
+            entry['slots'] = 12
+            fleet.store.put('servers', engine.name, entry)
+        for name, zone in self.keepers.items():
+            fleet.start(name, 'keeper', zone)
+        for name in self.gateways:
+            fleet.start(name, 'gateway', name[6:-2])
+        for name in self.gateways:
+            await fleet.wait_ready(name)
+        await asyncio.sleep(4.0)
+
+    def find_holder(self):
+        lease = self.fleet.store.get_spec('lease', 'leader') or {}
+        return lease.get('holder') or None
+
+    async def train(self, lot):
+        """Submit, read until all is read, and end."""
+        names = self.gateways
+        if not await trainer.submit(self.fleet, names, lot, self.record):
+            return
+        turn = 0
+        while len(lot.results) < len(lot.item_ids):
+            await asyncio.sleep(READ_GAP_S)
+            name = names[turn % len(names)]
+            turn += 1
+            page = await trainer.read(
+                self.fleet, name, lot.id, len(lot.results), self.record, 2.0
+            )
+            if page is not None:
+                lot.results.extend(page['results'])
+        await trainer.end(self.fleet, names, lot, self.record)
+
+    async def disturb(self, lot):
+        """Freeze the leader; stop its successor as planned once the lot has
+        ended; let the first one go on.
+        """
+        first = self.find_holder()
+        if first is None:
+            return
+        self.fleet.signal(first, signal.SIGSTOP)
+        frozen_at = time.monotonic()
+        second = None
         try:
-            while not self.closed:
-                request = await wire.read_request(reader)
-                if request is None or self.closed:
-                    return
-                headers = [
-                    ('Request-Id', request.id),
-                    ('Server-Load', f'1,0,{SLOTS},100'),
-                    ('Instance-Id', self.name),
-                ]
-                if request.target == '/health':
-                    wire.write_response(writer, 200, headers)
-                    continue
-                self.reached.append(time.monotonic())
-                self.record.add(self.name, 'runs', request.id)
-                await asyncio.sleep(WORK_S)
-                headers.append(('Server-Stamp', 'stamp'))
-                wire.write_response(writer, 200, headers, b'answer')
-                await writer.drain()
-        except ConnectionError:
-            pass
+            while time.monotonic() - frozen_at < FREEZE_MAX_S - 0.3:
+                holder = self.find_holder()
+                if holder not in (None, first):
+                    second = holder
+                if second and lot.ended:
+                    break
+                await asyncio.sleep(0.005)
+            else:
+                return
+            self.fleet.signal(second, signal.SIGTERM)
+            while time.monotonic() - frozen_at < FREEZE_MAX_S:
+                if self.find_holder() != second:
+                    break
+                await asyncio.sleep(0.002)
         finally:
-            writer.close()
-
-
-async def consume(address, request_id, answers, record):
-    status, _, _ = await wire.call(
-        address,
-        'POST',
-        '/live/1',
-        [
-            ('Host', 'shop.example'),
-            ('Request-Id', request_id),
-            ('Timeout-Ms', '800'),
-        ],
-        b'lookup',
-        timeout_s=2.0,
-    )
-    answers.append(status)
-    record.add('consumer gets', request_id, status)
-
-
-async def send_requests(fleet, names, answers, record):
-    number = 0
-    while True:
-        front = fleet.get_front(names[number % len(names)])
-        request_id = f'{number:08x}{os.getpid():08x}'
-        record.add('consumer sends', request_id)
-        asyncio.create_task(consume(front, request_id, answers, record))
-        number += 1
-        await asyncio.sleep(REQUEST_GAP_S)
-
-
-def find_failures(fleet, names):
-    """Return how often the watch of the servers failed, by process."""
-    found = {}
-    for name in names:
-        count = 0
-        for line in fleet.read_log(name).splitlines():
-            count += 'task failed, restarting' in line
-        found[name] = count
-    return found
+            self.fleet.signal(first, signal.SIGCONT)
+            self.record.add(
+                first, f'stood still for {time.monotonic() - frozen_at:.2f} s'
+            )
+        await self.fleet.wait_ended(second, 8.0)
+        await asyncio.sleep(0.5)
+        self.fleet.start(second, 'keeper', self.keepers[second])
+
+    async def play_round(self, number, trouble):
+        started = time.monotonic()
+        lot = trainer.Lot(f'{number:02x}{os.getpid():010x}', ITEMS)
+        self.lots.append(lot)
+        training = asyncio.create_task(self.train(lot))
+        await asyncio.sleep(FREEZE_AFTER_S)
+        if trouble:
+            await self.disturb(lot)
+        await asyncio.wait([training], timeout=ROUND_S)
+        # All machines are up, and have been for longer than
+        # stableWindowMs and catchUpS, when the lot is read again.
+        await asyncio.sleep(max(1.0, started + ROUND_S - time.monotonic()))
+        return await self.check(lot)
+
+    async def check(self, lot):
+        """Read a lot again from the start; return whether all came again.
+
+        It is read again after each failure, as consumers do at the end of a
+        day, and counts as lost if the last time fails as well.
+        """
+        self.record.add('lease held by', self.find_holder())
+        held = True
+        for name in self.gateways:
+            for _ in range(CHECKS):
+                results = await trainer.read_all(
+                    self.fleet, name, lot.id, self.record
+                )
+                complete = (
+                    results is not None
+                    and results[: len(lot.results)] == lot.results
+                )
+                await asyncio.sleep(CHECK_GAP_S)
+            if complete:
+                continue
+            held = False
+            count = None if results is None else len(results)
+            text = (
+                f'LOST {lot.id}: {len(lot.results)} results were read before, '
+                f'{count} come again at {name}'
+            )
+            self.record.add(text)
+            print(text)
+        return held
 
 
 async def main(record):
     fleet = deployment.Deployment(record)
-    answers = []
     try:
-        await fleet.store.start()
-        fleet.store.put('config', 'main', standin.build_manifest(3))
-        servers = [Server(f'i-desk{n}', record) for n in (1, 2, 3)]
-        for server in servers:
-            await server.start()
-            fleet.store.put('servers', server.name, server.describe())
-        gateways = ['front-walvis-a-1', 'front-swakop-b-1']
-        keepers = [
-            'store-walvis-a-1',
-            'store-swakop-b-1',
-            'store-langstrand-c-1',
-        ]
-        for name in keepers:
-            fleet.start(name, 'keeper', name[6:-2])
-        for name in gateways:
-            fleet.start(name, 'gateway', name[6:-2])
-        for name in gateways:
-            await fleet.wait_ready(name)
-        await asyncio.sleep(SETTLE_S)
-        sender = asyncio.create_task(
-            send_requests(fleet, gateways, answers, record)
-        )
-        await asyncio.sleep(2.0)
-        if deployment.has_trouble():
-            # The store returns it as it was written. JSON text that other
-            # readers accept: half of a surrogate pair as an escape.
-            fleet.store.put(
-                'servers',
-                'i-other',
-                {'service': 'desk', 'zone': '\ud83d', 'state': 'ready'},
-            )
-            record.add('another writer adds the entry i-other')
-        await asyncio.sleep(CALM_S)
-        leaving = servers[0]
-        fleet.store.put('servers', leaving.name, leaving.describe('draining'))
-        acknowledged = time.monotonic()
-        record.add('the store acknowledges that', leaving.name, 'is draining')
-        await asyncio.sleep(LINGER_S)
-        fleet.store.remove('servers', leaving.name)
-        leaving.end()
-        await asyncio.sleep(1.0)
-        # A process that starts now knows no server yet. What becomes of it is
-        # recorded, and does not count for the rule.
-        added = 'front-langstrand-c-1'
-        fleet.start(added, 'gateway', 'langstrand-c')
-        try:
-            await fleet.wait_ready(added)
-            record.add(added, 'became ready')
-        except TimeoutError:
-            record.add(added, 'did not become ready')
-            print(f'{added} did not become ready within 15 s')
-        sender.cancel()
-        late = [at for at in leaving.reached if at > acknowledged + DRAIN_S]
-        for name, count in find_failures(fleet, gateways + keepers).items():
-            record.add(name, 'log lines "task failed, restarting":', count)
-        counts = (
-            f'requests {len(answers)}, of which {answers.count(200)} were '
-            f'answered 200; reached {leaving.name} later than {DRAIN_S} s '
-            f'after the acknowledgement: {len(late)}'
-        )
-        if late:
-            counts += f', the last after {late[-1] - acknowledged:.1f} s'
-        record.add(counts)
-        print(counts)
-        return not late
+        drill = Drill(fleet, record)
+        await drill.start()
+        trouble = deployment.has_trouble()
+        held = True
+        for number in range(ROUNDS if trouble else 2):
+            if not await drill.play_round(number, trouble):
+                held = False
+                break
+        return held
     finally:
         await fleet.stop()
 
