--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=src:target/deps:review python3 -c '
-from common import deployment, wire
+from common import deployment, gate, trainer, wire
 '
