Judge a submission only by the route table it was accepted under

Cause: the leader took a route that its table lacks for a removed one, without asking whether the table is older than the submission. The age limit, the attempts, the service and single_version came from the same table. After a start there was no table at all, and texts were restored without it.

Change: a submission records the version of the route table under which its gateway accepted it. The owner queues and judges its items only with that table or a newer one. It lists the routes at once when its own are older, instead of waiting for its watch to notice that the store is silent.

--- a/src/clementineline/coordination/objectwatcher.py
+++ b/src/clementineline/coordination/objectwatcher.py
@@ -128,6 +128,7 @@
         '_names',
         '_on_objects',
         '_pause_s',
+        '_refresh_due',
         '_relay',
         '_store',
         '_verified_at',
@@ -162,6 +163,8 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._check_interval_s = check_interval_s
+        # Set when a process needs a newer state than the known one.
+        self._refresh_due = asyncio.Event()
         self._relay = relay
         self.relay_intervals = relay_intervals
         self._names = set()
@@ -184,6 +187,13 @@
             return False
         return self._clock.now() - self.regained_at < within_s
 
+    def refresh(self):
+        """List the objects in full before the next watch.
+
+        A watch of the store ends early for it.
+        """
+        self._refresh_due.set()
+
     async def run(self):
         """Watch the kind until cancelled."""
         retry_s = RETRY_MIN_S
@@ -210,7 +220,8 @@
         return self._clock.now() - self.regained_at
 
     async def _step(self):
-        if self.version is None:
+        if self.version is None or self._refresh_due.is_set():
+            self._refresh_due.clear()
             await self._list()
             return
         if self._relay is not None:
@@ -272,17 +283,20 @@
             self._apply_changes(changes.version, found, changes.removed)
 
     async def _watch(self):
-        """Wait for changes; return None if the watch has missed some."""
+        """Wait for changes; return None if the objects must be listed."""
         watch = asyncio.create_task(
             self._store.watch(self._kind, self.version, self._wait_s)
         )
         check = asyncio.create_task(self._wait_for_missed_change())
+        refresh = asyncio.create_task(self._refresh_due.wait())
         try:
             done, _ = await asyncio.wait(
-                (watch, check), return_when=asyncio.FIRST_COMPLETED
+                (watch, check, refresh), return_when=asyncio.FIRST_COMPLETED
             )
             if watch in done:
                 return watch.result()
+            if refresh in done:
+                return None
             self._log.warning(
                 'watch missed changes', kind=self._kind, since=self.version
             )
@@ -290,6 +304,7 @@
         finally:
             watch.cancel()
             check.cancel()
+            refresh.cancel()
 
     async def _wait_for_missed_change(self):
         """Return when a list shows a change that the watch has not reported.
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -26,6 +26,7 @@
 
 SCHEDULING_INTERVAL_S = 0.1
 LOAD_RETRY_DELAY_S = 0.2
+ROUTES_RETRY_DELAY_S = 0.2
 REFUSED_RETRY_DELAY_S = 0.05
 BROKEN_RETRY_DELAY_S = 0.05
 # A gateway may read a chunk from the ledger before its create is acknowledged
@@ -65,6 +66,8 @@
     :ivar on_submission: called with each submission that is started
     :ivar on_run_end: called with the end of each run, one of
         :class:`~itemruns.RunEnd`, and its duration in seconds
+    :ivar on_outdated_routes: called while a submission waits for a newer
+        route table than the one in force
     """
 
     __slots__ = (
@@ -84,6 +87,7 @@
         '_stopped',
         '_tasks',
         '_wakeup',
+        'on_outdated_routes',
         'on_run_end',
         'on_submission',
         'open_submissions',
@@ -123,6 +127,7 @@
         self._list_assigned = list_assigned
         self.on_submission = lambda submission: None
         self.on_run_end = lambda end, took_s: None
+        self.on_outdated_routes = lambda: None
         self.writer = recording.ResultWriter(submission_ledger, may_lead, log)
         self._prober = probing.LoadProber(pool, dialect, get_routes, log)
         self.stragglers = stragglers.StragglerMover(
@@ -214,6 +219,7 @@
             except errors.PlatformError as error:
                 self._log.info('results not read', e=str(error))
                 await asyncio.sleep(LOAD_RETRY_DELAY_S)
+        await self._wait_for_routes(entry)
         if entry.ended:
             return
         submission = entry.submission
@@ -261,9 +267,44 @@
         )
         self.wake()
 
-    def _is_single_version(self, submission):
+    def _get_current_routes(self, submission):
+        """Return the route table that applies to a submission.
+
+        The gateway that accepted the submission may know a newer table than
+        this process. An older one may lack the route, or hold other limits
+        and targets of it.
+
+        :returns: the :class:`~routes.RouteTable`; None if the one in force is
+            older than the submission
+        """
         table = self._get_routes()
-        route = table.find(submission.route) if table else None
+        if table is None or table.version < submission.routes_version:
+            return None
+        return table
+
+    def _find_route(self, submission):
+        """Return a submission's route, None if it is unknown or removed."""
+        table = self._get_current_routes(submission)
+        return table.find(submission.route) if table else None
+
+    async def _wait_for_routes(self, entry):
+        """Wait for the route table under which a submission was accepted."""
+        submission = entry.submission
+        if self._get_current_routes(submission) is not None:
+            return
+        self._log.info(
+            'submission waits for its route table',
+            submission=submission.id,
+            version=submission.routes_version,
+        )
+        while not entry.ended:
+            self.on_outdated_routes()
+            await asyncio.sleep(ROUTES_RETRY_DELAY_S)
+            if self._get_current_routes(submission) is not None:
+                return
+
+    def _is_single_version(self, submission):
+        route = self._find_route(submission)
         return route is not None and route.single_version
 
     def requires_single_version(self, model):
@@ -349,8 +390,7 @@
 
         A route may split items between services; the item's id decides.
         """
-        table = self._get_routes()
-        route = table.find(submission.route) if table else None
+        route = self._find_route(submission)
         if route is None:
             return []
         draw = zlib.crc32(item_id.encode()) / 2**32
@@ -522,8 +562,7 @@
             return
         if end is run_ends.FAILED:
             run.failures += 1
-            table = self._get_routes()
-            route = table.find(entry.submission.route) if table else None
+            route = self._find_route(entry.submission)
             if route is not None and run.failures >= route.attempts_max:
                 self._abandon(entry, run, 'every attempt failed')
                 return
@@ -578,9 +617,6 @@
         )
 
     def _expire_submissions(self):
-        table = self._get_routes()
-        if table is None:
-            return
         now = time.time()
         for entry in list(self.open_submissions.values()):
             age_s = now - entry.submission.accepted_at
@@ -589,6 +625,9 @@
                 continue
             if entry.ended or not entry.runs:
                 continue
+            table = self._get_current_routes(entry.submission)
+            if table is None:
+                continue
             route = table.find(entry.submission.route)
             if route is None:
                 reason = 'its route was removed'
--- a/src/clementineline/coordination/tests/test_objectwatcher.py
+++ b/src/clementineline/coordination/tests/test_objectwatcher.py
@@ -169,6 +169,20 @@
         assert await store.watches.get() == 2
         assert seen[-1] == ([], [], True)
 
+    async def test_refresh_ends_the_watch_and_lists_in_full(
+        self, start_watcher
+    ):
+        # A leader that knew an older route table than a gateway waited for
+        # the end of its watch (review/2).
+        store = FakeStore()
+        watcher, seen = start_watcher(store, check_interval_s=0)
+        await store.watches.get()
+        store.listed = [build_object('a', 5)]
+        store.version = 5
+        watcher.refresh()
+        assert await store.watches.get() == 5
+        assert seen[-1] == (store.listed, [], True)
+
     async def test_outage_is_reported_for_a_while_after_its_end(
         self, start_watcher, clock, wait_until
     ):
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -152,7 +152,7 @@
             self._refuse(incoming, facts, 400, 'no request id')
             return
         if route.batch:
-            await self._submit(incoming, route, facts)
+            await self._submit(incoming, route, facts, table.version)
             return
         await self._forward(incoming, route, facts)
 
@@ -248,12 +248,20 @@
 
     # Submissions.
 
-    async def _submit(self, incoming, route, facts):
-        """Record a submission in the ledger and repeat ambiguous writes."""
+    async def _submit(self, incoming, route, facts, routes_version):
+        """Record a submission in the ledger and repeat ambiguous writes.
+
+        :param routes_version: version of the table that holds the route
+        """
         service = forwarding.choose_service(route.targets, random.random())
         try:
             submission = self._dialect.decode_submission(
-                facts, route, service, incoming.body, time.time()
+                facts,
+                route,
+                service,
+                incoming.body,
+                time.time(),
+                routes_version,
             )
         except errors.RequestError as error:
             self._refuse(incoming, facts, error.status, str(error))
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -235,6 +235,7 @@
         )
         owner.on_submission = version_updater.note_submission
         owner.on_run_end = self._count_run
+        owner.on_outdated_routes = self._route_watcher.refresh
         self._limits.on_permit = owner.wake
         owner.writer.on_recorded = self._count_recorded
         version_updater.on_outcome = self._count_order
--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -83,7 +83,7 @@
     )
 
 
-def decode_submission(facts, route, service, body, now):
+def decode_submission(facts, route, service, body, now, routes_version):
     """Decode a batch submission.
 
     :param facts: the request's :class:`~dialect.CallFacts`
@@ -91,6 +91,7 @@
     :param service: name of the service that runs the items
     :param body: body of the request, JSON bytes
     :param now: Unix time, in seconds
+    :param routes_version: version of the route table that holds the route
     :returns: a :class:`~submissions.Submission`
     :raises errors.RequestError: if the body is malformed
     """
@@ -128,6 +129,7 @@
         step=decoded.step,
         accepted_at=now,
         items=tuple(items),
+        routes_version=routes_version,
     )
 
 
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -129,12 +129,14 @@
         items=4,
         scored=False,
         scorer_path='/live/score',
+        path='/batch/',
         **fields,
     ):
         """Submit a batch of items in groups of two; return the status.
 
         :param scored: whether each item has a reward call
         :param scorer_path: start of the paths of the reward calls
+        :param path: prefix of the route
         """
         body = {
             'step': 0,
@@ -144,7 +146,7 @@
             'items': [
                 {
                     'id': f'{submission_id}-i{number}',
-                    'path': f'/batch/{number}',
+                    'path': f'{path}{number}',
                     'headers': {'Model': 'm0', 'Length-Hint': '3'},
                     'body': base64.b64encode(b'prompt %d' % number).decode(),
                     'tokens': 10,
@@ -162,7 +164,7 @@
         status, _, _ = await self.call(
             gateway,
             'POST',
-            f'/batch/{submission_id}',
+            f'{path}{submission_id}',
             ((b'Request-Id', submission_id.encode()),),
             json.dumps(body).encode(),
         )
--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -202,7 +202,7 @@
         facts = dialect.CallFacts('s1', 'shop.example', '/batch/s1', None)
         with pytest.raises(errors.RequestError, match='items'):
             batches.decode_submission(
-                facts, table.find('r-batch'), 'lm', b'{"items":3}', 1.0
+                facts, table.find('r-batch'), 'lm', b'{"items":3}', 1.0, 1
             )
 
     def test_page_is_encoded_under_wire_names(self):
--- a/src/clementineline/state/submissions.py
+++ b/src/clementineline/state/submissions.py
@@ -74,6 +74,8 @@
     :param groups_wanted: number of complete groups that the trainer waits for
     :param step: the trainer's step
     :param accepted_at: Unix time of its acceptance, in seconds
+    :param routes_version: version of the route table under which it was
+        accepted; 0 if unknown
     """
 
     id: str
@@ -86,6 +88,7 @@
     step: int
     accepted_at: float
     items: tuple[Item, ...]
+    routes_version: int = 0
 
 
 class Result(msgspec.Struct, frozen=True):
