End a leader's term whenever another keeper may have led

Cause: the leader was frozen, another keeper led and released the lease, and the first one acquired it in the same step that showed this. The flag possibly_taken_over was set and cleared within milliseconds; the keeper looks every 50 ms. It kept its owner of submissions, and its orders of weights with the quiet time of the old term.

Change: LeaseManager counts takeovers. Term compares the count with that of its start, so a takeover cannot pass unseen. Owner, writer, answers and orders need the term. It goes on over a lapse with no other holder in between, so an outage of the store still costs no runs.

--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -14,7 +14,7 @@
 from clementineline import errors
 from clementineline.protocol import links
 
-__all__ = ['LeaseManager']
+__all__ = ['LeaseManager', 'Term']
 
 LEASE_KIND = 'lease'
 LEASE_NAME = 'leader'
@@ -40,6 +40,38 @@
 NON_CANDIDATE_INTERVAL_FACTOR = 20
 
 
+class Term:
+    """The time for which no other process can have held the lease.
+
+    It goes on when the lease lapses and is acquired again with nobody in
+    between, as after an outage of the store. State that a leader keeps is
+    valid for one term only: the next holder records results that this one
+    does not see.
+
+    :param lease: the :class:`LeaseManager`, which may hold the lease now
+    """
+
+    __slots__ = ('_lease', '_takeovers')
+
+    def __init__(self, lease):
+        self._lease = lease
+        self._takeovers = lease.takeovers
+
+    @property
+    def ended(self):
+        """Whether another process may have held the lease since its start."""
+        return self._lease.takeovers != self._takeovers
+
+    @property
+    def fence(self):
+        """The fencing token of the lease, 0 if it is not held."""
+        return 0 if self.ended else self._lease.fence
+
+    def holds(self):
+        """Return whether the lease is held and the term has not ended."""
+        return not self.ended and self._lease.holds()
+
+
 class LeaseManager:
     """Acquires, renews and releases the lease for this process.
 
@@ -55,6 +87,8 @@
         empty to publish none
     :param read_time_of_day: function that returns the wall-clock time, in
         seconds since the epoch
+    :ivar takeovers: number of times that another process was found to have
+        held the lease, or may have
     """
 
     __slots__ = (
@@ -76,6 +110,7 @@
         'known_holder',
         'possibly_taken_over',
         'quiet_s',
+        'takeovers',
     )
 
     def __init__(
@@ -107,6 +142,7 @@
         # Whether another process may have held the lease since this one last
         # held it.
         self.possibly_taken_over = True
+        self.takeovers = 0
         # The rest of the quiet time that the last holder wrote on release.
         self._released_quiet_s = 0.0
         # Time after the acquisition during which no orders may be sent,
@@ -152,7 +188,7 @@
             self.known_fence = current.value['fence'] or current.version
             self._released_quiet_s = current.value.get('quiet_s', 0.0)
         if self.known_holder != self.holder:
-            self.possibly_taken_over = True
+            self._note_takeover()
         # A stale read may return a version older than one already seen.
         if version > self._version or self._version_seen_at is None:
             self._version = version
@@ -204,7 +240,7 @@
             version = await self._write(fence=0)
         except errors.WriteConflict:
             self._version_seen_at = None
-            self.possibly_taken_over = True
+            self._note_takeover()
             return
         self.quiet_s = self._released_quiet_s
         if self.known_holder not in ('', self.holder):
@@ -226,7 +262,7 @@
                 await self._extend_by_write()
                 return
             self._log.warning('lease lost', reason=str(error))
-            self.possibly_taken_over = True
+            self._note_takeover()
             self._clear()
 
     async def _extend_by_write(self):
@@ -264,6 +300,10 @@
         share = 1.0 - SAFETY_SHARE
         self._valid_until = started + self._settings.duration_s * share
 
+    def _note_takeover(self):
+        self.possibly_taken_over = True
+        self.takeovers += 1
+
     def _drop_lapsed(self):
         if self.fence and self._clock.now() >= self._valid_until:
             self._log.warning('lease lapsed', fence=self.fence)
@@ -287,7 +327,7 @@
             'quiet_s': max(0.0, self._settings.quiet_s - order_age_s),
         }
         self._valid_until = 0.0
-        self.possibly_taken_over = True
+        self._note_takeover()
         try:
             await self._platform.write(
                 LEASE_KIND, LEASE_NAME, value, self._version
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -453,3 +453,64 @@
         with pytest.raises(Ended):
             await manager.run()
         assert waits == [1.0 * lease.NON_CANDIDATE_INTERVAL_FACTOR, 1.0]
+
+
+class TestTerm:
+    """What a leader keeps is valid until another one may have led."""
+
+    async def test_ends_when_another_held_and_released_the_lease_unseen(
+        self, build_manager, clock
+    ):
+        """A frozen leader woke after its successor had released the lease.
+
+        It acquired the lease in the step that showed this, kept the state of
+        before, and did not return results that had been read (review/4).
+        """
+        holder, other = build_manager('a', clock), build_manager('b', clock)
+        await holder.step()
+        term = lease.Term(holder)
+        await other.step()
+        clock.time_s += 4.0
+        await other.step()
+        assert other.holds()
+        await other.release()
+        await holder.step()
+        assert holder.holds()
+        assert term.ended
+        assert not term.holds()
+        assert not term.fence
+
+    async def test_goes_on_after_an_outage_without_another_holder(
+        self, build_manager, clock, store
+    ):
+        holder = build_manager('a', clock)
+        await holder.step()
+        term = lease.Term(holder)
+        first_fence = term.fence
+        clock.time_s += 5.0
+        assert not term.holds()
+        await holder.step()
+        assert term.holds()
+        assert not term.ended
+        assert term.fence > first_fence
+
+    async def test_ends_when_another_has_acquired_the_lease(
+        self, build_manager, clock
+    ):
+        holder, other = build_manager('a', clock), build_manager('b', clock)
+        await holder.step()
+        term = lease.Term(holder)
+        await other.step()
+        clock.time_s += 4.0
+        await other.step()
+        await holder.step()
+        assert term.ended
+
+    async def test_ends_with_a_release(self, build_manager, clock):
+        holder = build_manager('a', clock)
+        await holder.step()
+        term = lease.Term(holder)
+        await holder.release()
+        await holder.step()
+        assert holder.holds()
+        assert term.ended
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -46,7 +46,7 @@
     :param directory: the :class:`~directory.Directory`
     :param pool: the :class:`~connections.ConnectionPool`
     :param dialect: the platform's dialect
-    :param lease: the :class:`~lease.LeaseManager`
+    :param term: the :class:`~lease.Term` in which the orders are sent
     :param get_routes: function that returns the route table in force
     :param requires_single_version: function from a model to whether each
         result must come from a single version
@@ -71,7 +71,6 @@
         '_holder',
         '_item_counts',
         '_latest_reports',
-        '_lease',
         '_log',
         '_on_change',
         '_pool',
@@ -80,6 +79,7 @@
         '_staleness_samples',
         '_target_set_at',
         '_tasks',
+        '_term',
         '_work_samples',
         'last_order_at',
         'on_outcome',
@@ -93,7 +93,7 @@
         directory,
         pool,
         dialect,
-        lease,
+        term,
         get_routes,
         requires_single_version,
         get_demand,
@@ -119,7 +119,7 @@
         self._get_demand = get_demand
         self._get_routes = get_routes
         self._holder = holder
-        self._lease = lease
+        self._term = term
         self._log = log
         self._requires_single_version = requires_single_version
         self._on_change = on_change
@@ -162,7 +162,7 @@
         try:
             while True:
                 self.wakeup.clear()
-                if self._lease.holds():
+                if self._term.holds():
                     self._update_engines()
                 try:
                     async with asyncio.timeout(CHECK_INTERVAL_S):
@@ -383,7 +383,7 @@
             model,
             version,
             self._holder,
-            self._lease.fence,
+            self._term.fence,
             report.orders_accepted,
             not self._requires_single_version(model),
         )
@@ -458,7 +458,7 @@
     async def _call(self, state, purpose, head, body):
         client = await self._pool.acquire(state, purpose, PERMIT_WAIT_S)
         if purpose == ratelimits.Purpose.ORDER:
-            if not self._lease.holds():
+            if not self._term.holds():
                 client.close()
                 raise errors.NotReady('the lease is not held')
             self.last_order_at = asyncio.get_running_loop().time()
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -85,6 +85,8 @@
                 settings.data_dir, self._list_recent_texts, log
             )
         self._owner = None
+        # The lease's term in which this process leads, None if it does not.
+        self._term = None
         self._version_updater = None
         self._leader_tasks = []
         self._retiring = set()
@@ -156,7 +158,10 @@
         await self._lease.release(order_age_s)
 
     def _may_lead(self):
-        return self._lease.holds() and not self._stopping
+        """Return whether the lease is held, in the owner's term if any."""
+        if self._stopping or not self._lease.holds():
+            return False
+        return self._term is None or not self._term.ended
 
     async def _follow_lease(self):
         """Start and stop leading as the lease changes.
@@ -168,9 +173,7 @@
             while True:
                 if self._owner is None and self._may_lead():
                     await self._lead_within_limits()
-                elif (
-                    self._owner is not None and self._lease.possibly_taken_over
-                ):
+                elif self._term is not None and self._term.ended:
                     await self._stop_leading('another keeper may lead')
                 await asyncio.sleep(LEADERSHIP_CHECK_INTERVAL_S)
         finally:
@@ -194,6 +197,7 @@
             self._start_leading()
 
     def _start_leading(self):
+        self._term = lease.Term(self._lease)
         owner = submissionowner.SubmissionOwner(
             self._ledger,
             self._directory,
@@ -214,7 +218,7 @@
             self._directory,
             self._pool,
             self._dialect,
-            self._lease,
+            self._term,
             lambda: self._routes.table,
             owner.requires_single_version,
             owner.measure_demand,
@@ -276,6 +280,7 @@
         owner, self._owner = self._owner, None
         if owner is None:
             return
+        self._term = None
         self._version_updater = None
         self._limits.on_permit = lambda: None
         for task in self._leader_tasks:
--- /dev/null
+++ b/src/clementineline/platform/tests/test_takeovers.py
@@ -0,0 +1,71 @@
+"""Leaders that were frozen while another keeper led."""
+
+import asyncio
+
+import pytest
+
+from clementineline.state import questions
+
+ITEMS = 4
+
+
+class FrozenLeader:
+    """The leader, whose lease makes no step until it wakes."""
+
+    def __init__(self, deployment, monkeypatch):
+        self.name = deployment.find_leader()
+        self.keeper = deployment.keepers[self.name]
+        self._awake = asyncio.Event()
+        manager = self.keeper._lease
+        step = type(manager).step
+
+        async def step_when_awake(stepping):
+            if stepping is manager:
+                await self._awake.wait()
+            await step(stepping)
+
+        monkeypatch.setattr(type(manager), 'step', step_when_awake)
+
+    def wake(self):
+        self._awake.set()
+
+
+@pytest.fixture
+async def frozen(served, monkeypatch):
+    for name in ('i-lm0', 'i-lm1'):
+        served.servers[name].gap_s = 0.4
+    status = await served.submit(
+        served.gateways['gateway-1'], 's1', items=ITEMS
+    )
+    assert status == 202
+    leader = FrozenLeader(served, monkeypatch)
+    yield leader
+    leader.wake()
+
+
+class TestFrozenLeader:
+    async def test_results_come_again_when_it_leads_again(
+        self, served, frozen, wait_until
+    ):
+        """It answered from the state that it had before (review/4)."""
+        gateway = served.gateways['gateway-1']
+        await wait_until(
+            lambda: served.find_leader() not in (None, frozen.name)
+        )
+        successor = served.find_leader()
+        results = await served.read_all(gateway, 's1', ITEMS)
+        status, _, _ = await served.call(gateway, 'DELETE', '/api/lots/s1')
+        assert status == 200
+        # The watch of the frozen leader's owner reports the end, so the owner
+        # never meets the chunks that its successor has recorded.
+        owner = frozen.keeper._owner
+        await wait_until(lambda: owner.open_submissions['s1'].ended)
+        await served.keepers[successor].stop()
+        del served.keepers[successor]
+        frozen.wake()
+        await wait_until(lambda: served.find_leader() == frozen.name)
+        answer = await frozen.keeper._answer(
+            questions.ReadResults('s1', 0, 0.0)
+        )
+        listed = [result.item_id for result in answer.page.results]
+        assert listed == [result['id'] for result in results]
