Answer from an owner only while it is the current one

Callers could see: a read that waits for a result at a leader which stops and starts to lead meanwhile got the page of the old owner, which lacks what another owner has recorded.

Cause: after the wait only the lease was checked, which the new term holds.

Change: the answer is given only if its owner is still the current one.

Evidence: test_read_that_waits_is_not_answered_after_the_term got a PageAnswer before and gets NotLeading now; the gateway then reads the ledger.

--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -163,6 +163,14 @@
             return False
         return self._term is None or not self._term.ended
 
+    def _may_answer_from(self, owner):
+        """Return whether answers of an owner are valid now.
+
+        A wait may outlast the owner's term, and another owner may have
+        recorded results since.
+        """
+        return owner is not None and owner is self._owner and self._may_lead()
+
     async def _follow_lease(self):
         """Start and stop leading as the lease changes.
 
@@ -299,7 +307,7 @@
                 self._owner.keep_texts()
             return self._answer_texts(question)
         owner = self._owner
-        if owner is None or not owner.synced or not self._may_lead():
+        if not self._may_answer_from(owner) or not owner.synced:
             return questions.NotLeading(self._lease.known_holder)
         if isinstance(question, questions.SubmissionEnded):
             owner.handle_recorded_end(question.submission_id)
@@ -309,9 +317,7 @@
                 page = await owner.read(
                     question.submission_id, question.after, question.wait_s
                 )
-                # Without the lease, the page may lack results that a new
-                # owner has recorded.
-                if not self._may_lead():
+                if not self._may_answer_from(owner):
                     return questions.NotLeading()
                 if page is None:
                     return questions.UnknownSubmission()
@@ -321,7 +327,7 @@
             )
         except errors.PlatformError as error:
             return questions.NotLeading(str(error))
-        if not self._may_lead():
+        if not self._may_answer_from(owner):
             return questions.NotLeading()
         if not found:
             return questions.UnknownSubmission()
--- a/src/clementineline/platform/tests/test_takeovers.py
+++ b/src/clementineline/platform/tests/test_takeovers.py
@@ -69,3 +69,20 @@
         )
         listed = [result.item_id for result in answer.page.results]
         assert listed == [result['id'] for result in results]
+
+    async def test_read_that_waits_is_not_answered_after_the_term(
+        self, served, frozen, wait_until
+    ):
+        """The page of the old owner lacks what another one has recorded."""
+        keeper = frozen.keeper
+        owner = keeper._owner
+        await wait_until(lambda: 's1' in owner.open_submissions)
+        read = asyncio.create_task(
+            keeper._answer(questions.ReadResults('s1', ITEMS, 1.0))
+        )
+        await asyncio.sleep(0.05)
+        frozen.wake()
+        await keeper._stop_leading('test')
+        keeper._start_leading()
+        answer = await read
+        assert isinstance(answer, questions.NotLeading)
