Do not send an order whose fencing token is not the lease's any more

Cause: an order is built before its connection is acquired, which may wait for a permit. If the lease lapses in that time and is acquired again, the check before sending passes, with the token of before.

Change: the token is compared as well.

Evidence: test_order_with_an_earlier_token_is_not_sent failed before (the check did not exist) and passes now.

--- a/src/clementineline/coordination/tests/test_versions.py
+++ b/src/clementineline/coordination/tests/test_versions.py
@@ -7,6 +7,7 @@
 from clementineline.coordination import directory
 from clementineline.coordination import placement
 from clementineline.coordination import versions
+from clementineline import errors
 from clementineline.state import directory as records
 from clementineline.state import routes
 
@@ -114,3 +115,30 @@
             updater.note_submission(build_submission(model, 100))
         assert sum(len(names) for names in assign(updater).values()) == 60
         assert updater.list_assigned('lm', 'm0') is None
+
+
+class FakeTerm:
+    """A term whose lease is acquired again during a wait."""
+
+    def __init__(self):
+        self.fence = 7
+
+    def holds(self):
+        return True
+
+
+class TestOrders:
+    async def test_order_with_an_earlier_token_is_not_sent(self, updater):
+        """An engine would get a lower fencing token after a higher one."""
+        term = FakeTerm()
+        closed = []
+
+        async def acquire(state, purpose, wait_s):
+            term.fence = 8
+            return types.SimpleNamespace(close=lambda: closed.append(True))
+
+        updater._term = term
+        updater._pool = types.SimpleNamespace(acquire=acquire)
+        with pytest.raises(errors.NotReady, match='token 7'):
+            await updater._call(build_engine('e'), 'order', None, b'', 7)
+        assert closed
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -389,7 +389,7 @@
         )
         head, body = self._dialect.build_order_call(order, state.record)
         status, _ = await self._call(
-            state, ratelimits.Purpose.ORDER, head, body
+            state, ratelimits.Purpose.ORDER, head, body, order.fence
         )
         outcome = self._dialect.read_order_status(status)
         self.on_outcome(outcome)
@@ -455,12 +455,21 @@
             raise errors.ProtocolError(f'report: status {status}')
         return self._dialect.decode_report(body)
 
-    async def _call(self, state, purpose, head, body):
+    async def _call(self, state, purpose, head, body, fence=None):
+        """Send a report or an order.
+
+        :param fence: fencing token of an order, None for a report
+        :raises errors.NotReady: if the order's token is not valid any more
+        """
         client = await self._pool.acquire(state, purpose, PERMIT_WAIT_S)
-        if purpose == ratelimits.Purpose.ORDER:
-            if not self._term.holds():
+        if fence is not None:
+            # The lease may have lapsed during the wait for the connection, or
+            # have been acquired again with a higher token.
+            if not self._term.holds() or self._term.fence != fence:
                 client.close()
-                raise errors.NotReady('the lease is not held')
+                raise errors.NotReady(
+                    f'order with token {fence}: the lease is not held with it'
+                )
             self.last_order_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(CALL_TIMEOUT_S):
             reply, answer = await self._pool.exchange(
