Set the version of a watch after its changes are handled

Cause: one entry could not be handled. The watch had set its version and names before, so the restarted task took all objects of the page for reported. The comparison with a list finds nothing, as names and version match.

Change: callback and history first, names and version last. Changes that could not be handled are read and reported again.

Evidence: test_changes_that_could_not_be_handled_are_reported_again fails on the code before.

--- a/src/clementineline/coordination/objectwatcher.py
+++ b/src/clementineline/coordination/objectwatcher.py
@@ -250,20 +250,24 @@
         self._handle_response(started)
         self._replace(page.version, page.objects)
 
+    # The version is set last: if an object cannot be handled, the same changes
+    # are read and reported again.
+
     def _replace(self, version, found):
-        self.version = version
-        self._names = {each.name for each in found}
+        self._on_objects(found, [], True)
         if self.history is not None:
             self.history.replace(version, found)
-        self._on_objects(found, [], True)
+        self._names = {each.name for each in found}
+        self.version = version
 
     def _apply_changes(self, version, found, removed):
-        self.version = max(self.version, version)
+        version = max(self.version, version)
+        self._on_objects(found, removed, False)
+        if self.history is not None:
+            self.history.extend(version, found, removed)
         self._names.update(each.name for each in found)
         self._names.difference_update(removed)
-        if self.history is not None:
-            self.history.extend(self.version, found, removed)
-        self._on_objects(found, removed, False)
+        self.version = version
 
     def _apply_relayed(self, changes):
         """Apply the changes that another process has reported.
--- a/src/clementineline/coordination/tests/test_objectwatcher.py
+++ b/src/clementineline/coordination/tests/test_objectwatcher.py
@@ -183,6 +183,42 @@
         assert await store.watches.get() == 5
         assert seen[-1] == (store.listed, [], True)
 
+    async def test_changes_that_could_not_be_handled_are_reported_again(
+        self, clock, log
+    ):
+        """Keepers that started while one entry was odd knew no server.
+
+        The version was set before the objects were handled, so the restarted
+        watch took them for known (review/3).
+        """
+        store = FakeStore()
+        store.listed = [build_object('a', 1)]
+        seen = []
+
+        def handle(found, removed, whole):
+            seen.append((found, whole))
+            if len(seen) in (1, 3):
+                raise OverflowError
+
+        watcher = objectwatcher.ObjectWatcher(
+            store, 'k', handle, clock, log, check_interval_s=0
+        )
+        for changes in (None, objects.ObjectPage(4, store.listed, [])):
+            if changes is not None:
+                store.responses.put_nowait(changes)
+            with pytest.raises(OverflowError):
+                await watcher._step()
+            if changes is not None:
+                store.responses.put_nowait(changes)
+            await watcher._step()
+        assert seen == [
+            (store.listed, True),
+            (store.listed, True),
+            (store.listed, False),
+            (store.listed, False),
+        ]
+        assert watcher.version == 4
+
     async def test_outage_is_reported_for_a_while_after_its_end(
         self, start_watcher, clock, wait_until
     ):
