Bound the digits of numbers in headers, events and positions

Callers could see: 502 for a call that another endpoint would have answered, a stream that broke off, a read of results that failed, when an endpoint or caller sent a number of over 4,300 digits (int() refuses them) or a digit outside ASCII. An item with a malformed header ended without being queued again.

Cause: isdigit() was taken for "int() accepts it". Infinite numbers were passed on as well.

A header that cannot be sent ends a run as broken.

Evidence: the tests of TestNumbers fail on the code before.

--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -8,6 +8,7 @@
 from clementineline import errors
 from clementineline.state import submissions
 from clementineline.transport import events
+from clementineline.transport import numbers
 
 __all__ = ['ItemRun', 'RunEnd', 'run_item']
 
@@ -162,7 +163,12 @@
         )
         reusable = end[0] is RunEnd.COMPLETED
         return end
-    except (errors.ProtocolError, TimeoutError, ValueError) as error:
+    except (
+        errors.ProtocolError,
+        errors.RequestError,
+        TimeoutError,
+        ValueError,
+    ) as error:
         return RunEnd.BROKEN, repr(error)
     finally:
         if reusable:
@@ -207,7 +213,9 @@
         for event in found:
             changed = event.fields.get(dialect.version_field)
             if changed is not None:
-                version = int(changed)
+                version = numbers.read_integer(changed)
+                if version is None:
+                    return RunEnd.BROKEN, f'version {changed[:80]!r}'
                 state.versions[submission.model] = version
             if event.number != len(run.texts) + 1:
                 return RunEnd.BROKEN, (
--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -7,6 +7,7 @@
 from clementineline import errors
 from clementineline.state import dialect
 from clementineline.state import submissions
+from clementineline.transport import numbers
 
 __all__ = ['decode_submission', 'encode_page', 'read_batch_call']
 
@@ -65,10 +66,7 @@
     for key, value in headers.items():
         if key.lower() != name:
             continue
-        try:
-            return float(value.partition(',')[0])
-        except ValueError:
-            return 0.0
+        return numbers.read_number(value.partition(',')[0]) or 0.0
     return 0.0
 
 
@@ -97,7 +95,11 @@
     """
     try:
         decoded = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise errors.RequestError(400, f'batch submission: {error}')
     items = []
     for item in decoded.items:
@@ -148,11 +150,6 @@
     return msgspec.json.encode(_Page(page.total, page.next, results))
 
 
-def _read_integer(text):
-    """Return a non-negative integer, 0 if the text is not one."""
-    return int(text) if text.isdigit() else 0
-
-
 def read_batch_call(head):
     """Read a call about an accepted submission.
 
@@ -178,10 +175,10 @@
     wait_ms = 0
     for key, value in head.headers:
         if key.lower() == b'wait-ms':
-            wait_ms = _read_integer(value.decode('latin-1'))
+            wait_ms = numbers.read_integer(value) or 0
     return dialect.BatchCall(
         dialect.BatchVerb.READ_RESULTS,
         path[len(SUBMISSIONS_PATH) :],
-        after=_read_integer(query.get('after', '0')),
+        after=numbers.read_integer(query.get('after')) or 0,
         wait_s=min(wait_ms / 1000, READ_WAIT_MAX_S),
     )
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -1,9 +1,8 @@
 """Headers of callers' requests, requests to endpoints, and responses."""
 
-import math
-
 from clementineline.state import dialect
 from clementineline.transport import http
+from clementineline.transport import numbers
 
 __all__ = [
     'build_call',
@@ -32,27 +31,10 @@
 )
 
 
-def _read_number(text):
-    if text is None:
-        return None
-    try:
-        return float(text)
-    except ValueError:
-        return None
-
-
-def _read_integer(text):
-    if text is None or not text.strip().isdigit():
-        return None
-    return int(text)
-
-
 def _read_rate(text):
     """Return a rate per second; None if it is missing or malformed."""
-    rate = _read_number(text)
-    if rate is None or not math.isfinite(rate) or rate < 0:
-        return None
-    return rate
+    rate = numbers.read_number(text)
+    return None if rate is None or rate < 0 else rate
 
 
 def read_call(head):
@@ -63,13 +45,16 @@
     """
     request_id = http.find_header(head.headers, b'request-id') or b''
     host = http.find_header(head.headers, b'host') or b''
-    timeout_ms = _read_number(http.find_header(head.headers, b'timeout-ms'))
+    timeout_ms = numbers.read_number(
+        http.find_header(head.headers, b'timeout-ms')
+    )
     return dialect.CallFacts(
         request_id.decode('latin-1'),
         host.decode('latin-1').partition(':')[0].lower(),
         head.path.decode('latin-1'),
         timeout_ms / 1000 if timeout_ms is not None else None,
-        _read_integer(http.find_header(head.headers, b'last-event-id')) or 0,
+        numbers.read_integer(http.find_header(head.headers, b'last-event-id'))
+        or 0,
     )
 
 
@@ -150,11 +135,11 @@
     # The header holds the running requests, the waiting requests, a number
     # that is not used here and, from some endpoints, the slowness in percent.
     load = (http.find_header(headers, b'server-load') or b'').split(b',')
-    numbers = [_read_integer(number) for number in load]
-    if len(numbers) >= 3 and None not in numbers:
-        running, waiting = numbers[0], numbers[1]
-        if len(numbers) > 3:
-            slowness = numbers[3] / 100
+    figures = [numbers.read_integer(figure) for figure in load]
+    if len(figures) >= 3 and None not in figures:
+        running, waiting = figures[0], figures[1]
+        if len(figures) > 3:
+            slowness = figures[3] / 100
     return dialect.ReplyFacts(
         request_id.decode('latin-1'),
         http.find_header(headers, b'not-executed') is not None,
@@ -162,7 +147,7 @@
         running,
         waiting,
         slowness,
-        _read_integer(http.find_header(headers, b'weight-versions')),
+        numbers.read_integer(http.find_header(headers, b'weight-versions')),
         _read_rate(http.find_header(headers, b'server-limit')),
     )
 
--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -1,4 +1,5 @@
 import json
+import urllib.parse
 
 import pytest
 
@@ -12,6 +13,7 @@
 from clementineline.state import dialect
 from clementineline.state import directory
 from clementineline.state import submissions
+from clementineline.transport import events
 from clementineline.transport import http
 
 ENTRY = {
@@ -250,3 +252,45 @@
         path.write_text('{"nodeName": "a"}')
         with pytest.raises(errors.SettingsError, match='node.json'):
             settings.load_gateway_settings(str(path))
+
+
+class TestNumbers:
+    """Thousands of digits failed the task that read them."""
+
+    LONG = b'9' * 5000
+
+    def test_long_numbers_in_headers_are_ignored(self):
+        facts = calls.read_reply(
+            (
+                (b'Server-Load', b'1,%s,4' % self.LONG),
+                (b'Weight-Versions', self.LONG),
+                (b'Server-Limit', b'1e999'),
+            )
+        )
+        assert (facts.running, facts.version, facts.rate_limit) == (
+            None,
+            None,
+            None,
+        )
+        head = http.Head(
+            b'GET',
+            b'/live/a',
+            ((b'Timeout-Ms', b'nan'), (b'Last-Event-Id', self.LONG)),
+        )
+        read = calls.read_call(head)
+        assert (read.timeout_s, read.last_event) == (None, 0)
+
+    @pytest.mark.parametrize('number', ['9' * 5000, '\u00b2', '-1', 'x'])
+    def test_odd_position_is_read_as_the_first(self, number):
+        target = f'/api/lots/s1?after={urllib.parse.quote(number)}'
+        head = http.Head(b'GET', target.encode(), ((b'Wait-Ms', self.LONG),))
+        call = batches.read_batch_call(head)
+        assert (call.after, call.wait_s) == (0, 0.0)
+
+    def test_long_event_id_is_an_error_of_the_protocol(self):
+        with pytest.raises(errors.ProtocolError):
+            events.EventReader().feed(b'id: %s\ndata: x\n\n' % self.LONG)
+        ((number, _),) = events.EventSplitter().feed(
+            b'id: %s\ndata: x\n\n' % self.LONG
+        )
+        assert number is None
--- a/src/clementineline/transport/events.py
+++ b/src/clementineline/transport/events.py
@@ -4,6 +4,7 @@
 import re
 
 from clementineline import errors
+from clementineline.transport import numbers
 
 __all__ = ['Event', 'EventReader', 'EventSplitter', 'is_comment']
 
@@ -107,8 +108,10 @@
 def _find_number(raw):
     for line in raw.splitlines():
         name, _, value = line.partition(b':')
-        if name == b'id' and value.strip().isdigit():
-            return int(value)
+        if name == b'id':
+            number = numbers.read_integer(value)
+            if number is not None:
+                return number
     return None
 
 
@@ -122,11 +125,11 @@
         if name == b'data':
             data.append(value)
         elif name == b'id':
-            if not value.isdigit():
+            number = numbers.read_integer(value)
+            if number is None:
                 raise errors.ProtocolError(
-                    f'event id {value!r}: expected a number'
+                    f'event id {value[:80]!r}: expected a number'
                 )
-            number = int(value)
         elif name:
             fields[name.lower()] = value
     if number is None:
