Read each object of a page of the store by itself

Other operators saw processes that ended again and again.

Cause: a page was decoded as a whole, and one value that the decoder refuses (half a surrogate pair, Infinity, deep nesting) made all of it unreadable. What it accepts need not be encodable: the history for other processes refuses integers of over 64 bits.

Change: where a page cannot be decoded, its elements are found without decoding them and without recursion (platform/documents.py). A value that is no JSON, is nested deeper than 64 or holds an integer of over 64 bits is read as an empty one with a fault. It names no server, and each value that is passed on can be encoded again. A page that is none is an error of the store with a reason.

--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -199,7 +199,11 @@
         for found in objects:
             record = self._decode(found.name, found.value)
             if record is None:
-                self._log.info('entry ignored', endpoint=found.name)
+                self._log.info(
+                    'entry ignored',
+                    endpoint=found.name,
+                    reason=found.fault or 'not an endpoint',
+                )
                 if found.name in self.endpoints:
                     removed = [*removed, found.name]
                 continue
--- a/src/clementineline/coordination/tests/test_objectwatcher.py
+++ b/src/clementineline/coordination/tests/test_objectwatcher.py
@@ -210,7 +210,8 @@
                 await watcher._step()
             if changes is not None:
                 store.responses.put_nowait(changes)
-            await watcher._step()
+            async with asyncio.timeout(1.0):
+                await watcher._step()
         assert seen == [
             (store.listed, True),
             (store.listed, True),
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from clementineline import errors
+from clementineline.platform import documents
 from clementineline.state import objects
 from clementineline.transport import http
 from clementineline.transport import outgoing
@@ -65,34 +66,85 @@
     events: list[_WatchEvent] = []
 
 
-def _decode_dict(raw):
-    """Decode a JSON object; None for any other value."""
-    try:
-        value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    return value if isinstance(value, dict) else None
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def _decode_object(kind, raw):
-    """Decode an object of the store; None if it is malformed.
+    """Decode an object of the store; None if its metadata are malformed.
 
-    A spec that is not a JSON object is decoded as an empty one.
+    A spec that cannot be read is decoded as an empty one, with its fault.
     """
     try:
         found = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
-        return None
-    value = _decode_dict(found.spec)
-    if value is None:
-        value = {}
+        metadata, spec, status = found.metadata, found.spec, found.status
+    except _DECODE_ERRORS:
+        members = documents.split_object(bytes(raw))
+        try:
+            metadata = msgspec.json.decode(
+                members.get('metadata', b''), type=_Metadata
+            )
+        except _DECODE_ERRORS:
+            return None
+        spec = members.get('spec', b'null')
+        status = members.get('status', b'null')
+    value, fault = documents.decode_dict(bytes(spec))
+    status_value, status_fault = documents.decode_dict(bytes(status))
     return objects.PlatformObject(
         kind,
-        found.metadata.name,
-        found.metadata.revision,
+        metadata.name,
+        metadata.revision,
         value,
-        _decode_dict(found.status),
+        None if status_fault else status_value,
+        fault,
+    )
+
+
+def _decode_page(body, page_type, field):
+    """Decode a page of the store whose elements may be unreadable.
+
+    :param page_type: type of the page
+    :param field: name of the member that holds the elements
+    :returns: ``(page, elements)``, the elements as JSON texts
+    :raises errors.PlatformError: if the page itself is malformed
+    """
+    members = documents.split_object(body)
+    elements = documents.split_array(members.pop(field, b''))
+    rest = b','.join(
+        msgspec.json.encode(name) + b':' + part
+        for name, part in members.items()
     )
+    try:
+        page = msgspec.json.decode(b'{%s}' % rest, type=page_type)
+    except _DECODE_ERRORS as error:
+        raise errors.PlatformError(
+            f'page of {field}: {error}: {body[:80]!r}'
+        ) from error
+    return page, elements
+
+
+def _decode_list_page(body):
+    try:
+        return msgspec.json.decode(body, type=_ListPage)
+    except _DECODE_ERRORS:
+        page, elements = _decode_page(body, _ListPage, 'items')
+    page.items = [msgspec.Raw(element) for element in elements]
+    return page
+
+
+def _decode_watch_page(body):
+    try:
+        return msgspec.json.decode(body, type=_WatchPage)
+    except _DECODE_ERRORS:
+        page, elements = _decode_page(body, _WatchPage, 'events')
+    for element in elements:
+        members = documents.split_object(element)
+        page.events.append(
+            _WatchEvent(
+                msgspec.Raw(members.get('object', b'')),
+                members.get('deleted') == b'true',
+            )
+        )
+    return page
 
 
 class ObjectStore:
@@ -188,7 +240,12 @@
                 f'{kind}/{name}: expected version {expected}, status {status}'
             )
         self._check_status(status, answer, f'{method} {kind}/{name}')
-        return _decode_object(kind, answer).version
+        written = _decode_object(kind, answer)
+        if written is None:
+            raise errors.AmbiguousWrite(
+                f'{method} {kind}/{name}: no object in {answer[:80]!r}'
+            )
+        return written.version
 
     async def _resolve_ambiguous_write(self, kind, name, value, expected):
         """Find out by a read whether a write took effect."""
@@ -253,13 +310,15 @@
                 path += '?' + urllib.parse.urlencode(query)
             status, body = await self._call('GET', path)
             self._check_status(status, body, f'GET {kind}')
-            page = msgspec.json.decode(body, type=_ListPage)
+            page = _decode_list_page(body)
             if version is None:
                 version = page.currentRev
             for raw in page.items:
                 found = _decode_object(kind, raw)
                 if found is not None:
                     listed.append(found)
+                elif not stale:
+                    self._log.warning('unreadable object', kind=kind)
             if listed and query.get('after') != listed[-1].name:
                 query['after'] = listed[-1].name
             elif page.morePages:
@@ -283,7 +342,7 @@
         if status == 410:
             raise errors.HistoryGone(f'{kind}: history since {since} is gone')
         self._check_status(status, body, f'GET {path}')
-        page = msgspec.json.decode(body, type=_WatchPage)
+        page = _decode_watch_page(body)
         changed = {}
         removed = {}
         for event in page.events:
@@ -381,6 +440,8 @@
                 reply = await client.receive_head()
                 answer = await client.receive_body(RESPONSE_MAX_BYTES)
             done = True
+        except errors.RequestError as error:
+            raise errors.PlatformError(f'{method} {path}: {error}') from error
         except (errors.ProtocolError, TimeoutError) as error:
             self._handle_failure(method, path, repr(error), started)
             text = f'{method} {path}: {error!r}'
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -38,10 +38,33 @@
         await self.server.drain(0.0)
 
 
+class RawJson:
+    """JSON text that another writer has stored, returned as it was written.
+
+    :param text: bytes, which need not be valid JSON
+    """
+
+    def __init__(self, text):
+        self.text = text
+
+
+def _encode_json(value):
+    raw = []
+
+    def mark(found):
+        raw.append(found.text)
+        return f'raw text {len(raw)}'
+
+    encoded = json.dumps(value, default=mark).encode()
+    for number, text in enumerate(raw, 1):
+        encoded = encoded.replace(b'"raw text %d"' % number, text, 1)
+    return encoded
+
+
 def respond_json(incoming, value, status=200, headers=()):
-    """Respond with a JSON value."""
+    """Respond with a JSON value, which may contain :class:`RawJson`."""
     headers = ((b'Content-Type', b'application/json'), *headers)
-    incoming.respond(status, headers, json.dumps(value).encode())
+    incoming.respond(status, headers, _encode_json(value))
 
 
 class StoreStandIn(_HttpStandIn):
--- a/src/clementineline/state/objects.py
+++ b/src/clementineline/state/objects.py
@@ -14,6 +14,7 @@
     :param value: the JSON value
     :param status: status that the service reports, on platforms that store
         the status separately from the value
+    :param fault: why the value could not be read and is empty; '' if it was
     """
 
     kind: str
@@ -21,6 +22,7 @@
     version: int
     value: dict
     status: dict | None = None
+    fault: str = ''
 
 
 class ObjectPage(msgspec.Struct, frozen=True):
