Take no entry of an endpoint whose address, slots or id cannot be used

Callers could see: 502 for calls that went to an entry whose id is no header value; a task that failed at a port of thousands of digits or of digits outside ASCII; a server with billions of slots, which always seemed idle; waits for the resolver at host names.

Cause: the types of the fields were checked, their values hardly.

Change: an address is an IP address and a port, slots are at most 65,536, an id is printable ASCII without spaces.

--- a/src/clementineline/platform/endpoints.py
+++ b/src/clementineline/platform/endpoints.py
@@ -1,5 +1,8 @@
 """Endpoints' entries in the store, engine reports and load orders."""
 
+import ipaddress
+import re
+
 import msgspec
 
 from clementineline import errors
@@ -27,6 +30,12 @@
 }
 
 
+# Far above the slots of any endpoint.
+SLOTS_MAX = 65536
+# An id is sent to the endpoint in a header.
+_ID = re.compile(r'[!-~]{1,256}')
+
+
 class _Model(msgspec.Struct):
     name: str
     version: int
@@ -73,10 +82,14 @@
     """
     try:
         entry = msgspec.convert(value, _EndpointEntry)
-        frames.parse_address(entry.address)
-    except (msgspec.ValidationError, errors.SettingsError):
+        address = frames.parse_address(entry.address)
+        # The platform has no name service.
+        ipaddress.ip_address(address.host)
+    except (msgspec.ValidationError, errors.SettingsError, ValueError):
+        return None
+    if entry.state not in ('ready', 'draining'):
         return None
-    if entry.state not in ('ready', 'draining') or entry.slots <= 0:
+    if not 0 < entry.slots <= SLOTS_MAX or not _ID.fullmatch(name):
         return None
     return directory.EndpointRecord(
         id=name,
@@ -137,7 +150,11 @@
     """
     try:
         report = msgspec.json.decode(body, type=_Report)
-    except msgspec.DecodeError as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise errors.ProtocolError(f'report: {error}') from error
     return directory.EngineReport(
         versions={model.name: model.version for model in report.models},
--- a/src/clementineline/platform/tests/test_foreign_entries.py
+++ b/src/clementineline/platform/tests/test_foreign_entries.py
@@ -8,6 +8,7 @@
 import pytest
 
 from clementineline import errors
+from clementineline.platform import dialect
 from clementineline.platform import objects
 from clementineline.platform.tests import standin
 from clementineline.platform.tests import test_documents
@@ -103,6 +104,57 @@
             await client.watch('servers', 1, 0.1)
 
 
+ENTRY = {
+    'service': 'desk',
+    'address': '127.0.0.1:7100',
+    'zone': 'walvis-a',
+    'slots': 4,
+    'state': 'ready',
+}
+
+
+class TestEntriesOfEndpoints:
+    decode = staticmethod(dialect.WireDialect.decode_endpoint)
+
+    def test_usual_entry_is_decoded(self):
+        assert self.decode('i-1', ENTRY).slots == 4
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'address': '127.0.0.1:70000'},
+            {'address': '127.0.0.1:-1'},
+            {'address': '127.0.0.1:0'},
+            {'address': '127.0.0.1:\u00b2'},
+            {'address': '127.0.0.1:' + '9' * 5000},
+            {'address': 'desk.example:7100'},
+            {'address': '127.0.0.1\x00:7100'},
+            {'address': ''},
+            {'address': 7100},
+            {'address': 'x' * 1_000_000},
+            {'slots': 2**62},
+            {'slots': 0},
+            {'slots': -4},
+            {'slots': 2.5},
+            {'slots': None},
+            {'zone': ['walvis-a']},
+            {'state': 'asleep'},
+            {'coldLeftMs': 'long'},
+            {'models': {'m0': 1}},
+            {'born': '1700000000000'},
+        ],
+        ids=str,
+    )
+    def test_odd_entry_names_no_endpoint(self, fields):
+        assert self.decode('i-1', {**ENTRY, **fields}) is None
+
+    @pytest.mark.parametrize(
+        'name', ['', 'i 1', 'i\r\n1', 'i\u00e9', 'i' * 300]
+    )
+    def test_id_that_is_no_header_value_names_no_endpoint(self, name):
+        assert self.decode(name, ENTRY) is None
+
+
 @pytest.mark.parametrize('name', FEW_ODD_VALUES)
 class TestProcesses:
     """Keepers that started beside an odd entry knew no server (review/3)."""
--- a/src/clementineline/transport/frames.py
+++ b/src/clementineline/transport/frames.py
@@ -48,7 +48,9 @@
     :raises errors.SettingsError: if the text is not of that form
     """
     host, colon, port = text.rpartition(':')
-    if not colon or not host or not port.isdigit():
+    # An integer of thousands of digits cannot be converted.
+    digits = port.isascii() and port.isdigit() and len(port) < 9
+    if not colon or not host or not digits:
         raise errors.SettingsError(
             f'address {text!r}: expected HOST:PORT, such as 127.0.0.1:7100'
         )
