Check members, the lease and chunks of results where they are read

Callers could see: with one odd object among the members (port 70000), all relayed calls to the store and relayed watches of a process failed; with a lease object without a holder nobody led again; an odd chunk of results failed reads with 502 and ended the task that runs the submission.

Cause: these objects were taken for the service's own, and so for well-formed.

Change: a member with an address that cannot be used is ignored, with one log line for each version of it. A lease without a holder counts as that of a silent holder. A chunk that cannot be decoded is an error of the store, so no position is skipped; an object whose name is no chunk number is ignored.

--- a/src/clementineline/coordination/leaders.py
+++ b/src/clementineline/coordination/leaders.py
@@ -61,9 +61,9 @@
                 raise errors.NotReady('no leader is known')
         self._last_lookup_at = now
         found = await self._store.read(lease.LEASE_KIND, lease.LEASE_NAME)
-        if found is None or not found.value.get('address'):
+        address = found.value.get('address') if found else None
+        if not address or not isinstance(address, str):
             raise errors.NotReady('nobody leads')
-        address = found.value['address']
         if self._client is None:
             self._log.info(
                 'leader found',
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -40,6 +40,21 @@
 NON_CANDIDATE_INTERVAL_FACTOR = 20
 
 
+# Holder of a lease object that another writer has made unreadable. It is
+# replaced as one that does not renew its lease.
+UNREADABLE_HOLDER = '(unreadable)'
+
+
+def _get_holder(current):
+    holder = current.value.get('holder')
+    return holder if isinstance(holder, str) else UNREADABLE_HOLDER
+
+
+def _get_fence(current):
+    fence = current.value.get('fence')
+    return fence if isinstance(fence, int) else 0
+
+
 class Term:
     """The time for which no other process can have held the lease.
 
@@ -184,9 +199,9 @@
         now = self._clock.now()
         version = current.version if current else 0
         if current is not None:
-            self.known_holder = current.value['holder']
-            self.known_fence = current.value['fence'] or current.version
-            self._released_quiet_s = current.value.get('quiet_s', 0.0)
+            self.known_holder = _get_holder(current)
+            self.known_fence = _get_fence(current) or current.version
+            self._released_quiet_s = self._get_quiet_s(current)
         if self.known_holder != self.holder:
             self._note_takeover()
         # A stale read may return a version older than one already seen.
@@ -218,7 +233,7 @@
         if current is None or self._is_free(current):
             return False
         renewed_at = current.value.get('renewed_at')
-        if renewed_at is None:
+        if not isinstance(renewed_at, int | float):
             return False
         return self._read_time_of_day() - renewed_at > STALE_READ_AGE_S
 
@@ -230,7 +245,14 @@
         """
         if current is None:
             return True
-        return current.value['holder'] in ('', self.holder)
+        return _get_holder(current) in ('', self.holder)
+
+    def _get_quiet_s(self, current):
+        """Return the quiet time that the last holder wrote on release."""
+        quiet_s = current.value.get('quiet_s', 0.0)
+        if not isinstance(quiet_s, int | float):
+            return self._settings.quiet_s
+        return min(max(0.0, quiet_s), self._settings.quiet_s)
 
     async def _acquire(self):
         started = self._clock.now()
@@ -276,9 +298,9 @@
         :returns: whether the lease is still this term's
         """
         current = await self._read(stale=False)
-        if current is None or current.value['holder'] != self.holder:
+        if current is None or _get_holder(current) != self.holder:
             return False
-        if current.value['fence'] != self.fence:
+        if _get_fence(current) != self.fence:
             return False
         self._version = current.version
         self._log.info('renewal took effect late', fence=self.fence)
--- a/src/clementineline/coordination/ledger.py
+++ b/src/clementineline/coordination/ledger.py
@@ -65,6 +65,25 @@
     return SubmissionRecord(submission, ended, part_count)
 
 
+def _decode_chunk(found):
+    """Decode a chunk of results.
+
+    :raises errors.PlatformError: if the object holds none
+    """
+    try:
+        return msgspec.convert(found.value, submissions.ResultChunk)
+    except msgspec.ValidationError as error:
+        raise errors.PlatformError(
+            f'{found.kind}/{found.name}: no chunk of results: '
+            f'{found.fault or error}'
+        ) from error
+
+
+def _is_number(name):
+    """Return whether an object's name is the number of a chunk."""
+    return len(name) == NUMBER_DIGITS and name.isascii() and name.isdigit()
+
+
 def _quote(name):
     return urllib.parse.quote(name, safe='')
 
@@ -136,11 +155,16 @@
                 raise errors.PlatformError(
                     f'{kind}: part {number} of {part_count} is missing'
                 )
-            items.extend(
-                msgspec.convert(
-                    found.value.get('items'), list[submissions.Item]
+            try:
+                items.extend(
+                    msgspec.convert(
+                        found.value.get('items'), list[submissions.Item]
+                    )
                 )
-            )
+            except msgspec.ValidationError as error:
+                raise errors.PlatformError(
+                    f'{kind}: part {number}: {found.fault or error}'
+                ) from error
         return tuple(items)
 
     async def end(self, submission_id):
@@ -195,7 +219,7 @@
         found = await self._store.read(kind, _format_number(number))
         if found is None:
             return None
-        return msgspec.convert(found.value, submissions.ResultChunk)
+        return _decode_chunk(found)
 
     async def read_chunks(self, submission_id):
         """Return all chunks of a submission, in order."""
@@ -203,9 +227,8 @@
         page = await self._store.list_objects(kind)
         chunks = []
         for found in sorted(page.objects, key=lambda found: found.name):
-            chunks.append(
-                msgspec.convert(found.value, submissions.ResultChunk)
-            )
+            if _is_number(found.name):
+                chunks.append(_decode_chunk(found))
         return chunks
 
     async def remove(self, submission_id, chunk_count, part_count):
--- a/src/clementineline/coordination/members.py
+++ b/src/clementineline/coordination/members.py
@@ -25,10 +25,25 @@
 RELAY_GRACE_S = 0.5
 # Limit on the members that are asked to make one call.
 RELAY_MEMBERS_MAX = 3
+# Limit on the objects that are remembered for having been ignored.
+IGNORED_MAX = 100
 # Time without relayed calls to a member after a failed one.
 BACKOFF_S = 1.0
 
 
+def _find_fault(address, zone):
+    """Return why an object is no member, '' if it is one."""
+    if not isinstance(address, str):
+        return f'address {address!r:.80}: expected HOST:PORT'
+    if not isinstance(zone, str):
+        return f'zone {zone!r:.80}: expected a name'
+    try:
+        frames.parse_address(address)
+    except errors.SettingsError as error:
+        return f'{error!s:.200}'
+    return ''
+
+
 class MemberRegistry:
     """Registers this process and lists the other processes.
 
@@ -42,6 +57,7 @@
     """
 
     __slots__ = (
+        '_ignored',
         '_log',
         '_name',
         '_record',
@@ -64,6 +80,8 @@
         }
         self._store = store
         self._log = log
+        # Versions of the objects that are no members, by name.
+        self._ignored = {}
         # The other processes: names of keepers, and addresses and zones by
         # name.
         self.keepers = set()
@@ -108,12 +126,17 @@
         keepers = set()
         zones = {}
         for found in objects:
+            if found.name == self._name:
+                continue
             address = found.value.get('address')
-            if found.name == self._name or not isinstance(address, str):
+            # Processes of an earlier version write no zone.
+            zone = found.value.get('zone', '')
+            fault = found.fault or _find_fault(address, zone)
+            if fault:
+                self._log_ignored(found, fault)
                 continue
             addresses[found.name] = address
-            # Processes of an earlier version write no zone.
-            zones[found.name] = found.value.get('zone', '')
+            zones[found.name] = zone
             if found.value.get('keeps'):
                 keepers.add(found.name)
         if addresses:
@@ -121,6 +144,15 @@
             self.keepers = keepers
             self.zones = zones
 
+    def _log_ignored(self, found, fault):
+        """Log that an object is no member, once for each version of it."""
+        if self._ignored.get(found.name) == found.version:
+            return
+        self._ignored[found.name] = found.version
+        while len(self._ignored) > IGNORED_MAX:
+            del self._ignored[next(iter(self._ignored))]
+        self._log.warning('member ignored', member=found.name, reason=fault)
+
     def list_keepers(self):
         """Return the sorted names of the other keepers."""
         return sorted(self.keepers)
--- a/src/clementineline/platform/tests/test_foreign_entries.py
+++ b/src/clementineline/platform/tests/test_foreign_entries.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from clementineline.coordination import ledger
 from clementineline import errors
 from clementineline.platform import dialect
 from clementineline.platform import objects
@@ -204,3 +205,57 @@
                 ),
                 APPLY_S,
             )
+
+
+class TestOtherKinds:
+    @pytest.mark.parametrize(
+        'value',
+        [
+            {'address': '127.0.0.1:70000', 'keeps': True},
+            {'address': 'nowhere', 'keeps': True},
+            {'address': '127.0.0.1:7100', 'keeps': True, 'zone': []},
+            {'address': None},
+            standin.RawJson(b'{"address":"\\ud83d"}'),
+        ],
+    )
+    async def test_odd_member_is_ignored(self, served, value):
+        gateway = served.gateways['gateway-1']
+        served.store.put('members', 'a-odd', value)
+        await gateway._members.refresh()
+        assert 'a-odd' not in gateway._members.addresses
+        assert gateway._members.keepers
+        served.clients['gateway-1'].reachable = False
+        status, _ = await served.read(gateway, 'unknown')
+        assert status == 404
+
+    async def test_unreadable_lease_is_replaced(self, served, wait_until):
+        served.store.put('lease', 'leader', standin.RawJson(b'{"holder":NaN}'))
+        await wait_until(lambda: not served.find_leader())
+        await wait_until(served.find_leader, 10.0)
+
+    @pytest.mark.parametrize(
+        'value', [{}, {'first': 0}, standin.RawJson(b'[Infinity]')]
+    )
+    async def test_odd_chunk_is_an_error_of_the_store(
+        self, store, client, value
+    ):
+        """No position may be skipped."""
+        store.put('results-s1', '000000', value)
+        store.put('results-s1', 'notes', {})
+        found = ledger.Ledger(client, 1 << 20)
+        with pytest.raises(errors.PlatformError, match='results-s1/000000'):
+            await found.read_chunks('s1')
+
+    async def test_object_that_is_no_chunk_is_ignored(self, store, client):
+        store.put('results-s1', 'notes', {})
+        assert await ledger.Ledger(client, 1 << 20).read_chunks('s1') == []
+
+    async def test_odd_submissions_versions_and_manifests_are_ignored(
+        self, served
+    ):
+        odd = standin.RawJson(b'{"model":"m0","version":-1e999}')
+        for kind in ('submissions', 'versions', 'retirements', 'config'):
+            served.store.put(kind, 'odd', odd)
+        gateway = served.gateways['gateway-1']
+        assert await served.submit(gateway, 's1') == 202
+        await served.read_all(gateway, 's1', 4)
