Limit the bytes of all unfinished responses and of an item's text

Cause here: a body ended after 32 MB for each call by itself, on machines with 150 MB. A run whose engine sends proper events without end was never ended.

Change: bodies that are being received may hold a tenth of the VM's memory together; the largest one is ended when there is no room. An item's text is at most 512 KB.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -27,12 +27,14 @@
     for each :meth:`acquire`.
 
     :param limits: the :class:`~ratelimits.RateLimits`
+    :param budget: the :class:`~buffers.BufferBudget` of the responses
     :ivar opened: number of connections opened so far
     """
 
-    __slots__ = ('_idle', '_limits', 'opened')
+    __slots__ = ('_idle', '_limits', 'budget', 'opened')
 
-    def __init__(self, limits):
+    def __init__(self, limits, budget):
+        self.budget = budget
         self._idle = {}
         self._limits = limits
         self.opened = 0
@@ -51,6 +53,7 @@
         """
         await self._limits.admit(state, purpose, wait_s)
         client = await self._connect(state)
+        client.budget = self.budget
         client.on_response = functools.partial(self._limits.observe, state)
         self._limits.count(state, purpose)
         return client
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -17,6 +17,9 @@
 RESPONSE_HEAD_TIMEOUT_S = 2.0
 # Bytes that complete no event do not count.
 DATA_TIMEOUT_S = 1.2
+# Far above the texts of real items. A longer one would not fit into an object
+# of the store.
+TEXT_MAX_BYTES = 512 * 1024
 
 
 class RunEnd:
@@ -204,6 +207,7 @@
         if version < submission.version_min:
             return RunEnd.STALE, f'version {version}'
     deadline = loop.time() + DATA_TIMEOUT_S
+    size = sum(len(text) for text in run.texts)
     while True:
         async with asyncio.timeout_at(deadline):
             data = await client.receive_data()
@@ -221,6 +225,10 @@
                 return RunEnd.BROKEN, (
                     f'event {event.number} after {len(run.texts)}'
                 )
+            size += len(event.data)
+            if size > TEXT_MAX_BYTES:
+                run.forget_text()
+                return RunEnd.BROKEN, f'text over {TEXT_MAX_BYTES} bytes'
             run.texts.append(event.data)
             if version is not None and version not in run.versions:
                 run.versions.append(version)
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -17,6 +17,7 @@
 from clementineline.daemons import tasks
 from clementineline.protocol import asking
 from clementineline.state import questions
+from clementineline.transport import buffers
 from clementineline.transport import frames
 
 __all__ = ['BaseProcess']
@@ -28,7 +29,7 @@
     """Watches the store and answers questions of other processes.
 
     :param settings: settings of the process, with ``name``, ``zone``,
-        ``listen``, ``metrics`` and ``value_bytes``
+        ``listen``, ``metrics``, ``response_bytes`` and ``value_bytes``
     :param store: the client of the platform's store
     :param dialect: the platform's dialect
     :param log: logger
@@ -88,7 +89,9 @@
             dialect.read_reply,
             log,
         )
-        self._pool = connections.ConnectionPool(self._limits)
+        self._pool = connections.ConnectionPool(
+            self._limits, buffers.BufferBudget(settings.response_bytes)
+        )
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
@@ -157,6 +160,9 @@
         process_metrics.set('store_calls', self._store.calls)
         process_metrics.set('store_reachable', int(self._store.reachable))
         process_metrics.set('endpoints', len(self._directory.endpoints))
+        budget = self._pool.budget
+        process_metrics.set('response_bytes', budget.used_bytes)
+        process_metrics.set('responses_ended', budget.ended)
         limited = self._limits.list_limited()
         process_metrics.set('endpoints_limited', len(limited))
 
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -15,6 +15,8 @@
 # Submissions are kept this long beyond the time for which the platform
 # requires their results to be readable.
 RETENTION_MARGIN_S = 60.0
+# A body is copied up to three times on its way to the caller.
+RESPONSE_MEMORY_SHARE = 0.1
 # Must be the port of ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -50,6 +52,10 @@
     value_bytes: int = 1024 * 1024
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    memory_mb: float = 0.0
+
+
 class _BootSettings(msgspec.Struct, rename='camel'):
     # Name of the VM, which is also the name of the process.
     node_name: str
@@ -61,6 +67,7 @@
     data_dir: str | None = None
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def _load(path):
@@ -83,6 +90,14 @@
     )
 
 
+def _derive_response_bytes(boot):
+    """Return the part of the VM's memory that responses may hold."""
+    bytes_max = int(boot.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE)
+    if not bytes_max:
+        return settings.RESPONSE_BYTES
+    return min(bytes_max, settings.RESPONSE_BYTES)
+
+
 def load_gateway_settings(path):
     """Load the settings of a gateway.
 
@@ -102,6 +117,7 @@
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
+        response_bytes=_derive_response_bytes(boot),
     )
 
 
@@ -129,4 +145,5 @@
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
+        response_bytes=_derive_response_bytes(boot),
     )
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -264,6 +264,7 @@
     attributes:
 
     - ``events``: number of events of a stream
+    - ``event_padding``: bytes at the end of each event's text
     - ``gap_s``: time before each event, in seconds
     - ``delay_s``: time before each response, in seconds
     - ``fail_next``: number of next requests that get ``fail_status``
@@ -318,6 +319,7 @@
         self.arrivals = []
         self.health_requests = 0
         self.events_sent = 0
+        self.event_padding = b''
 
     def describe(self, service, zone='walvis-a', state='ready'):
         """Return the entry that the endpoint writes to the store."""
@@ -441,7 +443,11 @@
             if self.versions[model] != version:
                 version = self.versions[model]
                 text = b'weight-versions: %d\n' % version
-            text += b'id: %d\ndata: e%d\n\n' % (number, number)
+            text += b'id: %d\ndata: e%d%s\n\n' % (
+                number,
+                number,
+                self.event_padding,
+            )
             channel.send(b'%x\r\n%s\r\n' % (len(text), text))
             self.events_sent += 1
             if self.break_after == number:
--- a/src/clementineline/platform/tests/test_endless.py
+++ b/src/clementineline/platform/tests/test_endless.py
@@ -93,3 +93,58 @@
             assert (status, body) == (200, b'answer to q')
         async with asyncio.timeout(CLOSE_BOUND_S):
             await wait_until(lambda: bad.endless_closed == len(bad.runs))
+
+
+class TestMemory:
+    """Bodies without end at many requests at once.
+
+    Each was limited, but not all together: the requests of other callers
+    ended with the process, which ran out of memory.
+    """
+
+    LIMIT_BYTES = 1 << 20
+
+    async def test_bodies_are_limited_together(self, served, wait_until):
+        bad = served.servers['i-desk']
+        good = await served.start_server('i-desk2', 'desk')
+        good.delay_s = 0.1
+        bad.endless = STREAM_HEAD + b'|1000\r\n' + b'x' * 0x1000 + b'\r\n'
+        gateway = served.gateways['gateway-1']
+        await wait_until(
+            lambda: len(gateway._directory.list_usable('desk')) == 2
+        )
+        budget = gateway._pool.budget
+        budget.limit_bytes = self.LIMIT_BYTES
+        answers = await asyncio.gather(
+            *(
+                served.call(
+                    gateway,
+                    'POST',
+                    '/live/a',
+                    ((b'Request-Id', b'r%d' % number),),
+                    b'q' * 1000,
+                )
+                for number in range(12)
+            )
+        )
+        body = b'answer to ' + b'q' * 1000
+        assert {(status, found) for status, _, found in answers} == {
+            (200, body)
+        }
+        assert bad.runs
+        assert budget.ended
+        assert budget.used_bytes <= self.LIMIT_BYTES
+        await wait_until(lambda: bad.endless_closed == len(bad.runs))
+        await wait_until(lambda: not budget.used_bytes)
+
+    async def test_text_of_an_item_is_limited(self, served, wait_until):
+        """An engine that sends events without end; each is a proper one."""
+        bad = served.servers['i-lm0']
+        bad.events = 1_000_000
+        bad.gap_s = 0.0
+        bad.event_padding = b'x' * 8192
+        gateway = served.gateways['gateway-1']
+        await served.submit(gateway, 's1', items=2)
+        results = await served.read_all(gateway, 's1', 2)
+        assert {result['text'] for result in results} == {'e1\ne2\ne3'}
+        assert bad.runs
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -12,6 +12,7 @@
 from clementineline.protocol import verdicts
 from clementineline.state import directory as records
 from clementineline.state import routes
+from clementineline.transport import buffers
 from clementineline.transport import http
 
 
@@ -96,7 +97,8 @@
                         self.endpoint_directory,
                         dialect.WireDialect.read_reply,
                         log,
-                    )
+                    ),
+                    buffers.BufferBudget(1 << 20),
                 ),
                 dialect.WireDialect(),
                 'walvis-a',
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -28,6 +28,7 @@
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 # Largest value that the object APIs of the supported platforms accept.
+RESPONSE_BYTES = 32 * 1024 * 1024
 VALUE_MAX_BYTES = 1024 * 1024
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
 Name = typing.Annotated[
@@ -248,6 +249,8 @@
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
     :param watch: times within which a change in the store must be in force
+    :param response_bytes: bytes that all responses which are being received
+        may hold together
     """
 
     name: Name
@@ -260,6 +263,7 @@
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
+    response_bytes: PositiveInt = RESPONSE_BYTES
 
 
 class KeeperSettings(_Settings):
@@ -276,6 +280,8 @@
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
     :param watch: times within which a change in the store must be in force
+    :param response_bytes: bytes that all responses which are being received
+        may hold together
     """
 
     name: Name
@@ -288,6 +294,7 @@
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
+    response_bytes: PositiveInt = RESPONSE_BYTES
 
 
 def _check_addresses(value, where):
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -16,6 +16,8 @@
     """An HTTP connection to an endpoint, for one request at a time.
 
     :param channel: the open :class:`~channels.Channel`
+    :ivar budget: the :class:`~buffers.BufferBudget` that bodies count
+        towards, or None
     :ivar on_response: called with the head of each response
     :ivar response: head of the last response, or None
     :ivar used_at: loop time at which the connection was opened or the last
@@ -25,6 +27,7 @@
     __slots__ = (
         '_channel',
         '_protocol',
+        'budget',
         'on_response',
         'response',
         'used_at',
@@ -35,6 +38,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_MAX_BYTES
         )
+        self.budget = None
         self.on_response = lambda response: None
         self.response = None
         self.used_at = asyncio.get_running_loop().time()
@@ -121,13 +125,21 @@
         :raises errors.ProtocolError: if it is larger than ``max_bytes``
         """
         body = bytearray()
-        while True:
-            data = await self.receive_data()
-            if data is None:
-                return bytes(body)
-            body += data
-            if len(body) > max_bytes:
-                raise errors.ProtocolError(f'response over {max_bytes} bytes')
+        try:
+            while True:
+                data = await self.receive_data()
+                if data is None:
+                    return bytes(body)
+                body += data
+                if len(body) > max_bytes:
+                    raise errors.ProtocolError(
+                        f'response over {max_bytes} bytes'
+                    )
+                if self.budget is not None:
+                    self.budget.add(self, len(data))
+        finally:
+            if self.budget is not None:
+                self.budget.remove(self)
 
     async def _next_event(self):
         try:
