Believe no response that bears the id of another request

Cause: a refusal that came a second time, late, was taken for the answer to the next request on its connection. The id was compared, but Not-Executed counted first; in streams and items the connection was kept too. Probes, reports and orders, which send no id, took any response for theirs.

Change: ReplyFacts.is_about decides it in one place. A response with another id is no evidence, and its connection is closed.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 
+from clementineline import errors
 from clementineline.transport import http
 from clementineline.transport import outgoing
 
@@ -28,15 +29,18 @@
 
     :param limits: the :class:`~ratelimits.RateLimits`
     :param budget: the :class:`~buffers.BufferBudget` of the responses
+    :param read_reply: function from the headers of a response to its
+        :class:`~dialect.ReplyFacts`
     :ivar opened: number of connections opened so far
     """
 
-    __slots__ = ('_idle', '_limits', 'budget', 'opened')
+    __slots__ = ('_idle', '_limits', '_read_reply', 'budget', 'opened')
 
-    def __init__(self, limits, budget):
+    def __init__(self, limits, budget, read_reply):
         self.budget = budget
         self._idle = {}
         self._limits = limits
+        self._read_reply = read_reply
         self.opened = 0
 
     async def acquire(self, state, purpose, wait_s=0.0):
@@ -91,7 +95,9 @@
         idle.append(client)
 
     async def exchange(self, state, client, head, body=b''):
-        """Send a small request, return the response and keep the connection.
+        """Send a small request without an id and return the response.
+
+        The connection is kept.
 
         :param state: the :class:`~directory.EndpointState`
         :param client: a connection that :meth:`acquire` returned
@@ -103,6 +109,12 @@
         try:
             client.send_request(head, body)
             reply = await client.receive_head()
+            facts = self._read_reply(tuple(reply.headers.raw_items()))
+            if not facts.is_about(''):
+                raise errors.ProtocolError(
+                    f'response to request {facts.request_id!r}: expected one '
+                    'without an id'
+                )
             response_body = await client.receive_body(EXCHANGE_BODY_MAX_BYTES)
             done = True
         finally:
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -334,7 +334,7 @@
         facts = self._dialect.read_reply(headers)
         if facts.request_id != attempts.request_id:
             client.close()
-            if facts.not_run:
+            if facts.not_run and facts.is_about(attempts.request_id):
                 return verdicts.NotRun('refused without an id', RETRY_AFTER_S)
             return verdicts.MayHaveRun(
                 f'response to another request {facts.request_id!r}'
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -154,6 +154,8 @@
             reply = await client.receive_head()
         headers = tuple(reply.headers.raw_items())
         facts = dialect.read_reply(headers)
+        if not facts.is_about(run.item.id):
+            return RunEnd.BROKEN, f'response to {facts.request_id!r}'
         if reply.status_code != 200:
             async with asyncio.timeout(DATA_TIMEOUT_S):
                 await client.receive_body(1 << 20)
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -183,6 +183,10 @@
                 reply = await client.receive_head()
             headers = tuple(reply.headers.raw_items())
             facts = self._dialect.read_reply(headers)
+            if not facts.is_about(incoming.request_id):
+                return verdicts.MayHaveRun(
+                    f'response to another request {facts.request_id!r}'
+                )
             is_stream = reply.status_code == 200 and facts.signed
             if not is_stream or facts.request_id != incoming.request_id:
                 body = await client.receive_body(forwarding.RESPONSE_MAX_BYTES)
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -90,7 +90,9 @@
             log,
         )
         self._pool = connections.ConnectionPool(
-            self._limits, buffers.BufferBudget(settings.response_bytes)
+            self._limits,
+            buffers.BufferBudget(settings.response_bytes),
+            dialect.read_reply,
         )
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -274,6 +274,8 @@
     - ``shed``: whether all requests are refused as not run
     - ``break_after``: number of the event after which a stream is aborted,
       once
+    - ``extra_response``: bytes sent before the response to the next
+      ``extra_responses`` requests, as a response that comes a second time
     - ``trailing_bytes``: bytes sent after the response of a plain service
     - ``lose_orders``: number of next load orders that get no response and
       take no effect
@@ -310,6 +312,8 @@
         self.shed = False
         self.break_after = None
         self.delay_s = 0.0
+        self.extra_response = b''
+        self.extra_responses = 0
         self.trailing_bytes = b''
         self.accepted = 0
         self.raw_answer = b''
@@ -349,6 +353,9 @@
             return
         self.arrivals.append(asyncio.get_running_loop().time())
         path = head.path.decode()
+        if self.extra_responses:
+            self.extra_responses -= 1
+            incoming._channel.send(self.extra_response)
         if path == '/api/report':
             self._report(incoming)
             return
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -6,12 +6,16 @@
 from clementineline.coordination import connections
 from clementineline.coordination import directory
 from clementineline.coordination import forwarding
+from clementineline.coordination import itemruns
 from clementineline.coordination import ratelimits
+from clementineline import errors
 from clementineline.platform import dialect
+from clementineline.platform import endpoints
 from clementineline.platform.tests import standin
 from clementineline.protocol import verdicts
 from clementineline.state import directory as records
 from clementineline.state import routes
+from clementineline.state import submissions
 from clementineline.transport import buffers
 from clementineline.transport import http
 
@@ -87,19 +91,21 @@
             self.endpoint_directory = directory.Directory(
                 lambda n, v: v, clock, log
             )
+            self.pool = connections.ConnectionPool(
+                ratelimits.RateLimits(
+                    'gateway-1',
+                    False,
+                    types.SimpleNamespace(addresses={}, keepers=set()),
+                    self.endpoint_directory,
+                    dialect.WireDialect.read_reply,
+                    log,
+                ),
+                buffers.BufferBudget(1 << 20),
+                dialect.WireDialect.read_reply,
+            )
             self.forwarder = forwarding.CallForwarder(
                 self.endpoint_directory,
-                connections.ConnectionPool(
-                    ratelimits.RateLimits(
-                        'gateway-1',
-                        False,
-                        types.SimpleNamespace(addresses={}, keepers=set()),
-                        self.endpoint_directory,
-                        dialect.WireDialect.read_reply,
-                        log,
-                    ),
-                    buffers.BufferBudget(1 << 20),
-                ),
+                self.pool,
                 dialect.WireDialect(),
                 'walvis-a',
                 log,
@@ -222,3 +228,83 @@
         await wait_until(lambda: server.runs)
         call.cancel()
         await wait_until(lambda: server.server.connections == 0)
+
+
+EXTRA_RESPONSES = {
+    'refused': b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n',
+    'another endpoint': b'HTTP/1.1 421 Misdirected\r\n',
+    'limited': b'HTTP/1.1 429 Limited\r\nNot-Executed: 1\r\n',
+    'answered': b'HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n',
+    'accepted': b'HTTP/1.1 202 Accepted\r\n',
+}
+EXTRA_END = b'Request-Id: earlier\r\nContent-Length: 0\r\n\r\n'
+
+
+@pytest.mark.parametrize('name', EXTRA_RESPONSES)
+class TestExtraResponses:
+    """A response that comes a second time, late, bears another id.
+
+    It was taken for the response to the next request on its connection, which
+    then ran at a second endpoint too, or was answered "not run" (review/1).
+    """
+
+    async def start(self, setup, name):
+        for endpoint in 'ab':
+            server = await setup.start(endpoint)
+            server.extra_response = EXTRA_RESPONSES[name] + EXTRA_END
+            server.extra_responses = 1
+            server.delay_s = 0.05
+
+    async def test_call_that_may_not_be_repeated_runs_once(
+        self, forwarding_setup, name, wait_until
+    ):
+        await self.start(forwarding_setup, name)
+        verdict = await forwarding_setup.forward(build_route(idempotent=False))
+        assert isinstance(verdict, verdicts.MayHaveRun)
+        assert sum(forwarding_setup.runs) == 1
+        assert not any(forwarding_setup.pool._idle.values())
+
+    async def test_call_that_may_be_repeated_is_answered_by_another_endpoint(
+        self, forwarding_setup, name
+    ):
+        await self.start(forwarding_setup, name)
+        forwarding_setup.servers[0].extra_responses = 0
+        for number in range(3):
+            verdict = await forwarding_setup.forward(
+                build_route(), request_id=f'r{number}'
+            )
+            assert verdict.body == b'answer to q'
+
+    async def test_item_does_not_count_as_refused_or_failed(
+        self, forwarding_setup, name
+    ):
+        await self.start(forwarding_setup, name)
+        state = forwarding_setup.endpoint_directory.endpoints['a']
+        item = submissions.Item('i1', '/batch/1', (), b'', 1, 'g')
+        submission = submissions.Submission(
+            's1', 'r', 'lm', 'shop.example', '', 0, 1, 0, 0.0, (item,)
+        )
+        end, reason = await itemruns.run_item(
+            submission,
+            itemruns.ItemRun(item),
+            state,
+            forwarding_setup.pool,
+            dialect.WireDialect(),
+        )
+        assert (end, reason) == (
+            itemruns.RunEnd.BROKEN,
+            "response to 'earlier'",
+        )
+        assert not any(forwarding_setup.pool._idle.values())
+
+    async def test_report_and_order_get_no_response_of_a_request(
+        self, forwarding_setup, name
+    ):
+        await self.start(forwarding_setup, name)
+        pool = forwarding_setup.pool
+        state = forwarding_setup.endpoint_directory.endpoints['a']
+        client = await pool.acquire(state, ratelimits.Purpose.REPORT)
+        head = endpoints.build_report_call(state.record)
+        with pytest.raises(errors.ProtocolError, match='earlier'):
+            await pool.exchange(state, client, head)
+        assert not any(pool._idle.values())
--- a/src/clementineline/platform/tests/test_streams.py
+++ b/src/clementineline/platform/tests/test_streams.py
@@ -242,3 +242,21 @@
         found += splitter.feed(b'\n')
         assert b''.join(raw for _, raw in found) == sent + b'\n'
         assert not splitter.has_partial
+
+
+class TestExtraResponses:
+    async def test_refusal_of_another_request_is_not_believed(self, streams):
+        """A stream ran at two engines for a late extra refusal (review/1)."""
+        await streams.add_route()
+        for engine in streams.engines:
+            engine.extra_response = (
+                b'HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\n'
+                b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+            )
+            engine.extra_responses = 1
+            engine.gap_s = 0.05
+        client = await streams.open()
+        reply = await client.receive_head()
+        client.close()
+        assert reply.status_code == 502
+        assert sum(len(engine.runs) for engine in streams.engines) == 1
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -96,6 +96,17 @@
     version: int | None
     rate_limit: float | None = None
 
+    def is_about(self, request_id):
+        """Return whether the response may be that to a request.
+
+        A response that arrives late stands where the next one is expected, and
+        proves nothing of the request that waits. A response without an id is
+        that of an endpoint which has not read the request.
+
+        :param request_id: id of the request, empty if it was sent without one
+        """
+        return not self.request_id or self.request_id == request_id
+
     @property
     def signed(self):
         """Whether the response carries the endpoint's signature."""
