Send nothing new to an endpoint that says in a response that it leaves

Cause: the header was not read.

Change: platform/calls.py reads it from the head of each response. The directory marks the instance, by id and time of its start, and ConnectionPool.acquire refuses what was chosen before. Entries that are written again, or lapse and come back, change nothing.

The engine of test_placement got the new attribute.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -31,16 +31,27 @@
     :param budget: the :class:`~buffers.BufferBudget` of the responses
     :param read_reply: function from the headers of a response to its
         :class:`~dialect.ReplyFacts`
+    :ivar on_leaving: called with the state of an endpoint that says that it
+        leaves, the purpose of the request, and whether another endpoint at its
+        address may have answered
     :ivar opened: number of connections opened so far
     """
 
-    __slots__ = ('_idle', '_limits', '_read_reply', 'budget', 'opened')
+    __slots__ = (
+        '_idle',
+        '_limits',
+        '_read_reply',
+        'budget',
+        'on_leaving',
+        'opened',
+    )
 
     def __init__(self, limits, budget, read_reply):
         self.budget = budget
         self._idle = {}
         self._limits = limits
         self._read_reply = read_reply
+        self.on_leaving = lambda state, purpose, another: None
         self.opened = 0
 
     async def acquire(self, state, purpose, wait_s=0.0):
@@ -51,17 +62,26 @@
         :param wait_s: how long the request may wait for its turn if the
             endpoint names a limit, in seconds
         :raises errors.ConnectionLost: if the endpoint does not accept a
-            connection
+            connection, or leaves
         :raises errors.LimitReached: if the request would exceed the limit
             that the endpoint names
         """
         await self._limits.admit(state, purpose, wait_s)
         client = await self._connect(state)
+        # It may have said so since it was chosen.
+        if state.leaving:
+            client.close()
+            raise errors.ConnectionLost(f'endpoint {state.id} leaves')
         client.budget = self.budget
-        client.on_response = functools.partial(self._limits.observe, state)
+        client.on_response = functools.partial(self._observe, state, purpose)
         self._limits.count(state, purpose)
         return client
 
+    def _observe(self, state, purpose, response):
+        facts = self._limits.observe(state, response)
+        if facts.leaving:
+            self.on_leaving(state, purpose, response.status_code == 421)
+
     async def _connect(self, state):
         """Return an idle connection to an endpoint, or open one."""
         now = asyncio.get_running_loop().time()
--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -12,6 +12,8 @@
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 4.0
 LOAD_TTL_S = 1.0
+# Limit on the instances that are remembered for having said that they leave.
+LEAVING_INSTANCES_MAX = 10_000
 # Noisy neighbours slow an engine for about 600 ms now and then; only a slower
 # pace that lasts longer matters.
 PACE_TIME_CONSTANT_S = 0.6
@@ -34,6 +36,8 @@
     :ivar load_at: loop time of the last load report, in seconds
     :ivar pace_s: smoothed time for an event, in seconds, or None
     :ivar slow_since: loop time since which the pace has been slow, or None
+    :ivar says_that_it_leaves: whether a response of the endpoint said that it
+        leaves
     :ivar backoff_until: loop time until which the endpoint gets no items
         after a failure, and requests only if no other endpoint is left
     :ivar expires_at: clock time at which an entry that lapsed in an outage is
@@ -55,6 +59,7 @@
         'pace_s',
         'queued',
         'record',
+        'says_that_it_leaves',
         'slow_since',
         'slowness',
         'versions',
@@ -64,6 +69,7 @@
         self.record = record
         self.address = frames.parse_address(record.address)
         self.versions = dict(record.versions)
+        self.says_that_it_leaves = False
         self.in_flight = 0
         self.item_runs = set()
         self.other_requests = 0
@@ -84,6 +90,16 @@
         """The endpoint's id."""
         return self.record.id
 
+    @property
+    def leaving(self):
+        """Whether the endpoint leaves, by its entry or by a response."""
+        return self.record.leaving or self.says_that_it_leaves
+
+    @property
+    def instance(self):
+        """What tells one instance from another: id and time of the start."""
+        return self.record.id, self.record.born_ms
+
     def update(self, record):
         """Replace the record.
 
@@ -96,6 +112,7 @@
         self.expires_at = None
         if restarted:
             self.limit = None
+            self.says_that_it_leaves = False
         for model, version in record.versions.items():
             if restarted or version > self.versions.get(model, 0):
                 self.versions[model] = version
@@ -167,6 +184,7 @@
         '_clock',
         '_decode',
         '_lapsed',
+        '_leaving_instances',
         '_log',
         '_usable',
         'changes',
@@ -182,6 +200,10 @@
         self.changes = 0
         # Names of the entries that lapsed in an outage.
         self._lapsed = set()
+        # Instances that said that they leave, in the order in which they did.
+        # An entry may reappear after an outage of the store, or be written
+        # again, so they outlast it.
+        self._leaving_instances = {}
         # Usable endpoints by service, until the next change.
         self._usable = {}
         self.on_change = lambda: None
@@ -222,10 +244,58 @@
         :param state: its :class:`EndpointState`
         """
         self.endpoints[state.id] = state
+        if state.instance in self._leaving_instances:
+            state.says_that_it_leaves = True
         self._handle_membership_change()
 
+    def mark_leaving(self, state, learnt_from, another=False):
+        """Give an endpoint no new work, as it says that it leaves.
+
+        This holds for the instance, whatever its entry says from now on. It
+        ends with the entry of another instance, which has another id or time
+        of its start.
+
+        :param state: the :class:`EndpointState` whose address answered
+        :param learnt_from: purpose of the request that was answered
+        :param another: whether another endpoint at the address may have
+            answered
+        """
+        marked = [state]
+        if another:
+            others = []
+            for other in self.endpoints.values():
+                if other is not state and other.address == state.address:
+                    others.append(other)
+            marked = others or marked
+        for each in marked:
+            if each.says_that_it_leaves:
+                continue
+            each.says_that_it_leaves = True
+            self._leaving_instances[each.instance] = True
+            while len(self._leaving_instances) > LEAVING_INSTANCES_MAX:
+                first = next(iter(self._leaving_instances))
+                del self._leaving_instances[first]
+            self._log.info(
+                'endpoint says that it leaves',
+                endpoint=each.id,
+                service=each.record.service,
+                learnt_from=learnt_from,
+                listed_as_leaving=each.record.leaving,
+            )
+            self._handle_membership_change()
+            self.on_change()
+
+    def count_leaving(self):
+        """Return how many of the known endpoints said that they leave."""
+        return sum(
+            state.says_that_it_leaves for state in self.endpoints.values()
+        )
+
     def _drop(self, name):
-        del self.endpoints[name]
+        state = self.endpoints.pop(name)
+        if not state.record.born_ms:
+            # Nothing would tell a later instance from this one.
+            self._leaving_instances.pop(state.instance, None)
         self._lapsed.discard(name)
         self._handle_membership_change()
 
@@ -252,6 +322,8 @@
                 leaving=record.leaving,
             )
             self._handle_membership_change()
+        elif record.born_ms != state.record.born_ms:
+            self._handle_membership_change()
         elif record.service != state.record.service:
             self._handle_membership_change()
         state.update(record)
@@ -260,7 +332,7 @@
         state = self.endpoints.get(name)
         if state is None:
             return
-        if after_outage and not state.record.leaving:
+        if after_outage and not state.leaving:
             if state.expires_at is None:
                 state.expires_at = self._clock.now() + LAPSED_ENTRY_GRACE_S
                 self._lapsed.add(name)
@@ -291,7 +363,7 @@
             return usable
         usable = []
         for state in self.endpoints.values():
-            if state.record.service != service or state.record.leaving:
+            if state.record.service != service or state.leaving:
                 continue
             usable.append(state)
         self._usable[service] = usable
--- a/src/clementineline/coordination/placement.py
+++ b/src/clementineline/coordination/placement.py
@@ -174,6 +174,8 @@
 
     :param version_min: oldest version that may run the items
     """
+    if state.leaving:
+        return False
     if not model:
         return True
     if model in state.loading_models:
--- a/src/clementineline/coordination/probing.py
+++ b/src/clementineline/coordination/probing.py
@@ -44,7 +44,7 @@
         now = asyncio.get_running_loop().time()
         probes = set()
         for state in states:
-            if state.limit is not None:
+            if state.leaving or state.limit is not None:
                 # A probe would take the place of a request.
                 continue
             if now - state.load_at > LOAD_MAX_AGE_S / 2:
--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -171,16 +171,18 @@
 
         :param state: the :class:`~directory.EndpointState`
         :param response: the response's head
+        :returns: the response's :class:`~dialect.ReplyFacts`
         """
+        facts = self._read_reply(tuple(response.headers.raw_items()))
         if response.status_code == 421:
             # The response comes from another endpoint at the same address.
-            return
-        facts = self._read_reply(tuple(response.headers.raw_items()))
+            return facts
         now = asyncio.get_running_loop().time()
         since = state.limit.known.since if state.limit is not None else now
         known = permits.KnownLimit(facts.rate_limit, now, since)
         if self._apply(state, known):
             self._start(self._report(state.id, known))
+        return facts
 
     def _apply(self, state, known):
         """Apply a limit, or its end, unless a newer one is known.
--- a/src/clementineline/coordination/tests/test_placement.py
+++ b/src/clementineline/coordination/tests/test_placement.py
@@ -67,6 +67,7 @@
         self.slowness = 1.0
         self.versions = {'m0': 1}
         self.loading_models = ()
+        self.leaving = False
         self._running = 0
 
     @property
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -350,7 +350,7 @@
                         reason=repr(error),
                     )
                     await asyncio.sleep(links.jitter(ORDER_RETRY_S))
-                if state.id not in self._directory.endpoints:
+                if state.leaving or state.id not in self._directory.endpoints:
                     return
         finally:
             state.loading_models.discard(model)
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -94,6 +94,7 @@
             buffers.BufferBudget(settings.response_bytes),
             dialect.read_reply,
         )
+        self._pool.on_leaving = self._directory.mark_leaving
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
@@ -165,6 +166,9 @@
         budget = self._pool.budget
         process_metrics.set('response_bytes', budget.used_bytes)
         process_metrics.set('responses_ended', budget.ended)
+        process_metrics.set(
+            'endpoints_leaving', self._directory.count_leaving()
+        )
         limited = self._limits.list_limited()
         process_metrics.set('endpoints_limited', len(limited))
 
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -122,6 +122,15 @@
     return http.Head(b'POST', reward_call.path.encode('latin-1'), headers)
 
 
+def _says_that_it_leaves(headers):
+    """Return whether the header is there once, with the one value it has."""
+    values = []
+    for key, value in headers:
+        if key.lower() == b'server-leaving':
+            values.append(value)
+    return values == [b'1']
+
+
 def read_reply(headers):
     """Read the headers of an endpoint's response.
 
@@ -149,6 +158,7 @@
         slowness,
         numbers.read_integer(http.find_header(headers, b'weight-versions')),
         _read_rate(http.find_header(headers, b'server-limit')),
+        _says_that_it_leaves(headers),
     )
 
 
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -269,6 +269,8 @@
     - ``delay_s``: time before each response, in seconds
     - ``fail_next``: number of next requests that get ``fail_status``
     - ``failing_ids``: ids of the requests that always get ``fail_status``
+    - ``leaving``: values of the header by which each response says that the
+      server leaves, one header a value
     - ``lose_answers``: number of next requests of a plain service that run
       and get no response
     - ``shed``: whether all requests are refused as not run
@@ -316,6 +318,8 @@
         self.extra_responses = 0
         self.trailing_bytes = b''
         self.accepted = 0
+        # Values of the header by which responses say that the server leaves.
+        self.leaving = ()
         self.raw_answer = b''
         self.raw_resumption = b''
         self.slowness = 1.0
@@ -363,7 +367,11 @@
             await self._order(incoming)
             return
         load = (b'Server-Load', b'1,0,4,%d' % (self.slowness * 100))
-        stated = (load, *self._build_limit_headers())
+        stated = (
+            load,
+            *self._build_limit_headers(),
+            *((b'Server-Leaving', value) for value in self.leaving),
+        )
         if path == '/health':
             self.health_requests += 1
             incoming.respond(200, stated, b'')
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -85,6 +85,7 @@
     :param version: weights version of the model, None if not reported
     :param rate_limit: requests a second that the endpoint takes from all
         processes together, None for no limit
+    :param leaving: whether the endpoint says that it leaves
     """
 
     request_id: str
@@ -95,6 +96,7 @@
     slowness: float
     version: int | None
     rate_limit: float | None = None
+    leaving: bool = False
 
     def is_about(self, request_id):
         """Return whether the response may be that to a request.
