Soak: endpoints say that they leave

Callers on kept connections know their gateway, so the soak checks that no call which a gateway got more than 2 s after such an answer reaches the endpoint from it, unless it was restarted or paused.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -50,6 +50,9 @@
             group.create_task(kept.run(stopping))
             group.create_task(watcher.run(stopping))
             group.create_task(trainer.run(stopping))
+            group.create_task(
+                injector.let_servers_leave(stopping, random.Random(seed + 3))
+            )
             await injector.run(duration_s)
             await fleet.wait_until_ready()
             stopping.set()
@@ -62,6 +65,7 @@
         await fleet.stop()
     recorder.check_runs(fleet.servers.values())
     recorder.check_limits()
+    recorder.check_departures(fleet.was_disturbed)
     recorder.check_orders(fleet.servers.values())
     return recorder, injector, trainer
 
--- a/src/clementineline/platform/tests/soak/checks.py
+++ b/src/clementineline/platform/tests/soak/checks.py
@@ -3,11 +3,13 @@
 import collections
 import dataclasses
 
-__all__ = ['Limit', 'Recorder']
+__all__ = ['Departure', 'Limit', 'Recorder']
 
 # A limit is kept from this time after it was first named.
 LIMIT_NOTICE_S = 3.0
 LIMIT_WINDOW_S = 4.0
+# An endpoint that says it leaves gets no call that was sent after this time.
+LEAVE_NOTICE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +28,20 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A time for which an endpoint said that it leaves.
+
+    :param server: the :class:`~fleet.SoakServer`
+    :param started: loop time of its start, in seconds
+    :param ended: loop time of its end, in seconds
+    """
+
+    server: object
+    started: float
+    ended: float
+
+
 class Recorder:
     """Violations of promises, and the outcomes that they are found in.
 
@@ -35,10 +51,17 @@
     :ivar unsafe_ids: ids of the requests that must not run twice
     :ivar unanswered: gateways by the id of a request whose connection they
         closed without an answer, although they were not killed
+    :ivar sent: gateway and loop time of each call to a known gateway, by id
+    :ivar departures: each :class:`Departure` that has ended
+    :ivar departures_told: loop times of the answers which said that their
+        endpoint leaves, by request id
     :ivar limits: each :class:`Limit` that has ended
     """
 
     def __init__(self):
+        self.departures = []
+        self.departures_told = {}
+        self.sent = {}
         self.limits = []
         self.violations = []
         self.statuses = collections.Counter()
@@ -94,6 +117,35 @@
                     f'{LIMIT_WINDOW_S} s, {allowed:.1f} allowed',
                 )
 
+    def check_departures(self, was_disturbed):
+        """Check that a gateway sends nothing new to a leaving endpoint.
+
+        :param was_disturbed: function from a gateway and two loop times to
+            whether it was restarted or paused between them
+        """
+        for departure in self.departures:
+            calls = []
+            for request_id in departure.server.run_ids:
+                name, time = self.sent.get(request_id, ('', 0.0))
+                if departure.started < time < departure.ended:
+                    calls.append((request_id, name, time))
+            told_at = {}
+            for request_id, name, _ in calls:
+                time = self.departures_told.get(request_id)
+                if time is not None:
+                    told_at[name] = min(time, told_at.get(name, time))
+            for request_id, name, time in calls:
+                first = told_at.get(name)
+                if first is None or time <= first + LEAVE_NOTICE_S:
+                    continue
+                if not was_disturbed(name, first, time):
+                    self.report(
+                        'leaving endpoints',
+                        f'{departure.server.name} got {request_id} from '
+                        f'{name}, {time - first:.1f} s after it had said '
+                        'that it leaves',
+                    )
+
     def check_orders(self, servers):
         """Check that no order of an earlier leader follows a later one's."""
         for server in servers:
--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 
 from clementineline.platform.tests.soak import checks
+from clementineline.platform.tests.soak import load
 
 __all__ = ['FaultInjector']
 
@@ -13,7 +14,10 @@
 # Requests a second that endpoints take, and the shortest time of their limit,
 # of which the first seconds do not count.
 LIMIT_RATE = (0.5, 2.0)
+# Well above the time after which an endpoint that says so gets no requests.
+LEAVE_MIN_S = 4.0
 LIMIT_MIN_S = 8.0
+LIMIT_CHECK_S = 0.1
 # Longer than the lease, so that another keeper leads meanwhile.
 LEADER_PAUSE_S = 4.5
 # Time within which a leader orders a named version.
@@ -72,6 +76,19 @@
                 group.create_task(inject(target, left_s, rng))
                 await asyncio.sleep(self._rng.uniform(*GAP_S))
 
+    async def let_servers_leave(self, stopping, rng):
+        """Let one endpoint after the other say that it leaves.
+
+        The draws are independent of those of the other faults.
+
+        :param stopping: event that ends it
+        :param rng: random number generator
+        """
+        servers = self._fleet.servers
+        names = [name for name in sorted(servers) if 'desk' in name]
+        while not await load.is_set_within(stopping, rng.uniform(*GAP_S)):
+            await self._leave(rng.choice(names), rng.uniform(*DURATION_S))
+
     def _list_kinds(self):
         """Return pairs of a fault and the names that it may be for."""
         processes, keepers = self._fleet.names, self._fleet.keepers
@@ -157,6 +174,7 @@
     async def pause_process(self, name, left_s, rng):
         if not self._reserve(name):
             return
+        self._fleet.note_disturbance(name)
         self._fleet.group.send_signal(name, signal.SIGSTOP)
         await asyncio.sleep(left_s)
         self._fleet.group.send_signal(name, signal.SIGCONT)
@@ -315,6 +333,29 @@
             )
             server.rate_limit = None
 
+    async def _leave(self, name, left_s):
+        """Let an endpoint say that it leaves; its entry stays ready.
+
+        Another instance follows under the same id.
+        """
+        server = self._fleet.servers[name]
+        server.leaving = (b'1',)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await asyncio.sleep(LEAVE_MIN_S + left_s)
+        # Each instance names a limit of its own, which is not known before
+        # its first answer.
+        while server.rate_limit is not None:
+            await asyncio.sleep(LIMIT_CHECK_S)
+        self._recorder.departures.append(
+            checks.Departure(server, started, loop.time())
+        )
+        server.leaving = ()
+        entry = self._fleet.store.get_spec('servers', name)
+        self._fleet.store.put(
+            'servers', name, {**entry, 'born': entry['born'] + 1}
+        )
+
     # The operator and trainers.
 
     async def name_version(self, name, left_s, rng):
--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """Gateways and keepers as processes, between relays that can fail."""
 
 import asyncio
+import collections
 import json
 import os
 import pathlib
@@ -111,6 +112,8 @@
         self.keepers = [f'keeper-{n}' for n in range(1, keepers + 1)]
         # Loop times of the last kill, by name.
         self._killed_at = {}
+        # Loop times of kills, restarts and pauses, by name.
+        self._disturbed_at = collections.defaultdict(list)
         # Processes that were told to end.
         self.stopped = set()
         # Loopback addresses of this run; other runs use other ones.
@@ -226,8 +229,23 @@
                 while not await self.is_ready(http, name):
                     await asyncio.sleep(0.1)
 
+    def note_disturbance(self, name):
+        """Record that a process is killed, started or paused now."""
+        now = asyncio.get_running_loop().time()
+        self._disturbed_at[name].append(now)
+
+    def was_disturbed(self, name, since, until):
+        """Return whether a process was killed, started or paused.
+
+        :param since: loop time, in seconds
+        :param until: loop time, in seconds
+        """
+        times = self._disturbed_at[name]
+        return any(since <= time <= until for time in times)
+
     def restart(self, name):
         """Start a process that has ended again."""
+        self.note_disturbance(name)
         self._log_starts[name] = self._get_log(name).stat().st_size
         self.group.restart(name)
         self.stopped.discard(name)
@@ -235,6 +253,7 @@
     def kill(self, name):
         """Kill a process."""
         self.stopped.add(name)
+        self.note_disturbance(name)
         self._killed_at[name] = asyncio.get_running_loop().time()
         self.group.kill(name)
 
--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -152,7 +152,9 @@
         request_id = f'kept-{next(self._numbers)}'
         headers = ((b'Host', HOST), (b'Request-Id', request_id.encode()))
         head = http.Head(b'POST', b'/live/a', headers)
-        started = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._recorder.sent[request_id] = (name, started)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 if client is None:
@@ -172,6 +174,8 @@
                 self._recorder.unanswered[request_id] = name
             return None
         self._recorder.statuses['kept', response.status_code] += 1
+        if http.find_header(response.headers, b'server-leaving'):
+            self._recorder.departures_told[request_id] = loop.time()
         closes = http.find_header(response.headers, b'connection') or b''
         if client.reusable and b'close' not in closes.lower():
             return client
