Do not send a request on under which two endpoints have ended

Cause: nothing tied the crash of an endpoint to the request that it held beyond one attempt of a caller. A repetition has another id and reaches another gateway.

Change: coordination/crashes.py notes the instances that ended while they held a request, identified by method, host, target and body, and tells all processes; after two of them the request gets 502 and is not sent. An endpoint counts as ended if its connection broke off and nothing listens at its address. LimitTeller became Teller, for both kinds of news.

Crashes for other reasons: all 48 calls of test_crash_for_another_reason_costs_no_answer are answered.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -17,6 +17,8 @@
 # the pool does not limit the number of open connections.
 SHARE_OF_MAX = 0.1
 CONNECT_TIMEOUT_S = 0.4
+# An address without a process refuses at once. The next attempt waits for it.
+END_CHECK_TIMEOUT_S = 0.05
 # Far above the few hundred bytes of reports and health responses.
 EXCHANGE_BODY_MAX_BYTES = 1024 * 1024
 
@@ -94,6 +96,21 @@
         self.opened += 1
         return await outgoing.connect(state.address, CONNECT_TIMEOUT_S)
 
+    async def has_ended(self, state):
+        """Return whether an endpoint has ended: nothing listens there.
+
+        A connection that was made for it is kept for the next request.
+        """
+        try:
+            client = await outgoing.connect(state.address, END_CHECK_TIMEOUT_S)
+        except errors.NotListening:
+            return True
+        except errors.ConnectionLost:
+            return False
+        self.opened += 1
+        self._idle.setdefault(state.id, []).append(client)
+        return False
+
     def release(self, state, client):
         """Keep a connection for reuse, or close it.
 
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -151,12 +151,21 @@
     :param pool: the :class:`~connections.ConnectionPool`
     :param dialect: the platform's :class:`~dialect.Dialect`
     :param zone: availability zone of this process
+    :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
     """
 
-    __slots__ = ('_dialect', '_directory', '_log', '_pool', '_zone')
+    __slots__ = (
+        '_crash_record',
+        '_dialect',
+        '_directory',
+        '_log',
+        '_pool',
+        '_zone',
+    )
 
-    def __init__(self, directory, pool, dialect, zone, log):
+    def __init__(self, directory, pool, dialect, zone, crash_record, log):
+        self._crash_record = crash_record
         self._directory = directory
         self._pool = pool
         self._dialect = dialect
@@ -209,7 +218,14 @@
             if now >= attempts.deadline:
                 return verdicts.MayHaveRun('time limit')
             if not pending or (hedge_at is not None and now >= hedge_at):
-                task = self._start_attempt(attempts, now, bool(pending))
+                refusal = self._crash_record.find_refusal(
+                    attempts.head, attempts.body, attempts.request_id
+                )
+                if refusal and not pending:
+                    return verdicts.MayHaveRun(refusal)
+                task = None
+                if not refusal:
+                    task = self._start_attempt(attempts, now, bool(pending))
                 if task is not None:
                     pending.add(task)
                 hedge_at = None
@@ -322,6 +338,10 @@
             body = await client.receive_body(RESPONSE_MAX_BYTES)
             complete = True
         except errors.ProtocolError as error:
+            if await self._pool.has_ended(state):
+                self._crash_record.note(
+                    attempts.head, attempts.body, attempts.request_id, state
+                )
             return verdicts.MayHaveRun(str(error))
         finally:
             if not complete:
--- a/src/clementineline/coordination/ratelimits.py
+++ b/src/clementineline/coordination/ratelimits.py
@@ -158,8 +158,12 @@
         self._ranked_members = None
         self._read_reply = read_reply
         self._tasks = set()
-        self._teller = telling.LimitTeller(
-            members, self._ask_member, self._start
+        self._teller = telling.Teller(
+            members,
+            self._ask_member,
+            self._start,
+            telling.build_limits_question,
+            telling.TELL_DELAY_S,
         )
         self.on_permit = lambda: None
         self.on_request = lambda purpose: None
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -63,12 +63,21 @@
     :param pool: the :class:`~connections.ConnectionPool`
     :param dialect: the platform's :class:`~dialect.Dialect`
     :param zone: availability zone of this process
+    :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
     """
 
-    __slots__ = ('_dialect', '_directory', '_log', '_pool', '_zone')
+    __slots__ = (
+        '_crash_record',
+        '_dialect',
+        '_directory',
+        '_log',
+        '_pool',
+        '_zone',
+    )
 
-    def __init__(self, directory, pool, dialect, zone, log):
+    def __init__(self, directory, pool, dialect, zone, crash_record, log):
+        self._crash_record = crash_record
         self._dialect = dialect
         self._directory = directory
         self._log = log
@@ -88,6 +97,12 @@
         stream = _Stream(facts.last_event)
         last = None
         while len(stream.tried) < route.attempts_max:
+            refusal = self._crash_record.find_refusal(
+                incoming.head, incoming.body, incoming.request_id
+            )
+            if refusal:
+                last = verdicts.MayHaveRun(refusal)
+                break
             refusals = len(stream.refused)
             state = forwarding.choose_endpoint(
                 self._directory.list_usable(service),
@@ -208,6 +223,14 @@
         except (errors.ProtocolError, TimeoutError) as error:
             if loop.time() >= deadline:
                 raise TimeoutError from error
+            if isinstance(error, errors.ProtocolError):
+                if await self._pool.has_ended(state):
+                    self._crash_record.note(
+                        incoming.head,
+                        incoming.body,
+                        incoming.request_id,
+                        state,
+                    )
             return verdicts.MayHaveRun(repr(error))
         finally:
             if complete:
--- a/src/clementineline/coordination/telling.py
+++ b/src/clementineline/coordination/telling.py
@@ -1,15 +1,22 @@
-"""Telling other processes the limits that endpoints name."""
+"""Telling other processes what this one has learnt."""
 
 import asyncio
 
 from clementineline.coordination import permits
 from clementineline.state import questions
 
-__all__ = ['BACKOFF_S', 'LimitTeller', 'decode_limit', 'encode_limit']
+__all__ = [
+    'BACKOFF_S',
+    'TELL_DELAY_S',
+    'Teller',
+    'build_limits_question',
+    'decode_limit',
+    'encode_limit',
+]
 
 # Time without questions to a member that did not answer.
 BACKOFF_S = 2.0
-# Changes of limits within this time are told in one message.
+# Changes within this time are told in one message.
 TELL_DELAY_S = 0.05
 
 
@@ -31,40 +38,65 @@
     )
 
 
-class LimitTeller:
-    """Tells limits to members until they have acknowledged them.
+def build_limits_question(limits):
+    """Build the question that tells limits.
 
-    A process that is paused when a limit is named would otherwise send
-    requests beyond it later.
+    :param limits: dict from endpoint id to its :class:`~permits.KnownLimit`
+    """
+    now = asyncio.get_running_loop().time()
+    stated = {}
+    for endpoint_id, known in limits.items():
+        stated[endpoint_id] = encode_limit(known, now)
+    return questions.TellLimits(stated)
+
+
+class Teller:
+    """Tells news to members until they have acknowledged them.
+
+    A process that is paused at that time would otherwise act without them
+    later.
 
     :param members: the :class:`~members.MemberRegistry`
     :param ask: coroutine function from a member's name and a question to the
         answer, which is None if there is none
     :param start: function that starts a coroutine as a task
+    :param build_question: function from a dict of news to the question that
+        tells them
+    :param delay_s: time for which news are collected, in seconds
     """
 
-    __slots__ = ('_ask', '_members', '_news', '_start', '_untold')
+    __slots__ = (
+        '_ask',
+        '_build_question',
+        '_delay_s',
+        '_members',
+        '_news',
+        '_start',
+        '_untold',
+    )
 
-    def __init__(self, members, ask, start):
+    def __init__(self, members, ask, start, build_question, delay_s):
         self._ask = ask
+        self._build_question = build_question
+        self._delay_s = delay_s
         self._members = members
         self._start = start
-        # Limits that are about to be told to all members, by endpoint id,
-        # and those that a member has not acknowledged, by its name.
+        # News that are about to be told to all members, by what they are
+        # about, and those that a member has not acknowledged, by its name.
         self._news = {}
         self._untold = {}
 
-    def tell_all(self, endpoint_id, known):
-        """Tell all members a limit or its end.
+    def tell_all(self, subject, known):
+        """Tell all members what is known about a subject now.
 
-        :param known: the :class:`~permits.KnownLimit`
+        :param known: replaces what was told before; a new object at each call
         """
         if not self._news:
             self._start(self._tell_news())
-        self._news[endpoint_id] = known
+        self._news[subject] = known
 
     async def _tell_news(self):
-        await asyncio.sleep(TELL_DELAY_S)
+        await asyncio.sleep(self._delay_s)
         news, self._news = self._news, {}
         for name in self._members.addresses:
             if name in self._untold:
@@ -81,21 +113,17 @@
                 if not await self.tell(name, told):
                     await asyncio.sleep(BACKOFF_S)
                     continue
-                for endpoint_id, known in told.items():
-                    if untold[endpoint_id] is known:
-                        del untold[endpoint_id]
+                for subject, known in told.items():
+                    if untold[subject] is known:
+                        del untold[subject]
         finally:
             del self._untold[name]
 
-    async def tell(self, name, limits):
-        """Tell a member limits.
+    async def tell(self, name, news):
+        """Tell a member some news.
 
-        :param limits: dict from endpoint id to its
-            :class:`~permits.KnownLimit`
+        :param news: dict from subject to what is known about it
         :returns: whether the member has acknowledged them
         """
-        now = asyncio.get_running_loop().time()
-        stated = {}
-        for endpoint_id, known in limits.items():
-            stated[endpoint_id] = encode_limit(known, now)
-        return await self._ask(name, questions.TellLimits(stated)) is not None
+        question = self._build_question(news)
+        return await self._ask(name, question) is not None
--- a/src/clementineline/coordination/tests/test_telling.py
+++ b/src/clementineline/coordination/tests/test_telling.py
@@ -36,12 +36,13 @@
 async def tell(members, monkeypatch):
     """Return a function that tells all members the limit of an endpoint."""
     monkeypatch.setattr(telling, 'BACKOFF_S', 0.02)
-    monkeypatch.setattr(telling, 'TELL_DELAY_S', 0.0)
     tasks = []
-    teller = telling.LimitTeller(
+    teller = telling.Teller(
         members,
         members.ask,
         lambda coroutine: tasks.append(asyncio.create_task(coroutine)),
+        telling.build_limits_question,
+        0.0,
     )
 
     def tell_all(rate):
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -6,6 +6,7 @@
 
 from clementineline import clocks
 from clementineline.coordination import connections
+from clementineline.coordination import crashes
 from clementineline.coordination import directory
 from clementineline.coordination import ledger
 from clementineline.coordination import members
@@ -94,6 +95,12 @@
             buffers.BufferBudget(settings.response_bytes),
             dialect.read_reply,
         )
+        self._crash_record = crashes.CrashRecord(
+            settings.name,
+            self._members,
+            lambda coroutine: self._tasks.start(coroutine, 'crashes'),
+            log,
+        )
         self._pool.on_leaving = self._directory.mark_leaving
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
@@ -163,6 +170,10 @@
         process_metrics.set('store_calls', self._store.calls)
         process_metrics.set('store_reachable', int(self._store.reachable))
         process_metrics.set('endpoints', len(self._directory.endpoints))
+        process_metrics.set('requests_with_crashes', len(self._crash_record))
+        process_metrics.set(
+            'requests_not_sent_again', self._crash_record.refused
+        )
         budget = self._pool.budget
         process_metrics.set('response_bytes', budget.used_bytes)
         process_metrics.set('responses_ended', budget.ended)
@@ -198,9 +209,10 @@
             self._limits.log_requests()
 
     async def _gather_limits(self):
-        """Learn the limits of endpoints that others know at the start."""
+        """Learn at the start what others know of endpoints and requests."""
         await self._members.listed.wait()
         await self._limits.gather()
+        await self._crash_record.gather()
 
     async def _serve_peer(self, stream):
         await asking.serve_questions(
@@ -213,6 +225,8 @@
             return await members.answer_relay(self._store, question)
         if isinstance(question, ratelimits.QUESTIONS):
             return await self._answer_about_limits(question)
+        if isinstance(question, crashes.QUESTIONS):
+            return await self._crash_record.answer(question)
         if isinstance(question, questions.WatchKind):
             return await self._answer_watch(question)
         return await self._answer(question)
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -58,10 +58,20 @@
     def __init__(self, settings, store, dialect, log):
         super().__init__(settings, store, dialect, log)
         self._call_forwarder = forwarding.CallForwarder(
-            self._directory, self._pool, dialect, settings.zone, log
+            self._directory,
+            self._pool,
+            dialect,
+            settings.zone,
+            self._crash_record,
+            log,
         )
         self._stream_forwarder = streaming.StreamForwarder(
-            self._directory, self._pool, dialect, settings.zone, log
+            self._directory,
+            self._pool,
+            dialect,
+            settings.zone,
+            self._crash_record,
+            log,
         )
         self._leader_client = leaders.LeaderClient(store, log)
         # Ids of ended submissions, so that a repeated end needs no write.
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -66,7 +66,12 @@
             self._members, log, settings.zone, self._keep_texts
         )
         forwarder = forwarding.CallForwarder(
-            self._directory, self._pool, dialect, settings.zone, log
+            self._directory,
+            self._pool,
+            dialect,
+            settings.zone,
+            self._crash_record,
+            log,
         )
         self._scorer = scoring.RewardScorer(
             forwarder,
--- a/src/clementineline/errors.py
+++ b/src/clementineline/errors.py
@@ -12,6 +12,7 @@
     'LimitReached',
     'LostStep',
     'MalformedFrame',
+    'NotListening',
     'NotReady',
     'PlanError',
     'PlatformError',
@@ -41,6 +42,10 @@
     """The connection ended before the expected frame arrived."""
 
 
+class NotListening(ConnectionLost):
+    """The peer refused a connection: no process listens at the address."""
+
+
 class AnswerLost(ConnectionLost):
     """A question was sent, but its answer did not arrive."""
 
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -266,6 +266,7 @@
     - ``events``: number of events of a stream
     - ``event_padding``: bytes at the end of each event's text
     - ``gap_s``: time before each event, in seconds
+    - ``deadly_bodies``: bodies of requests that end the server
     - ``delay_s``: time before each response, in seconds
     - ``fail_next``: number of next requests that get ``fail_status``
     - ``failing_ids``: ids of the requests that always get ``fail_status``
@@ -313,6 +314,8 @@
         self.targets = {}
         self.shed = False
         self.break_after = None
+        self.deadly_bodies = set()
+        self.ended = False
         self.delay_s = 0.0
         self.extra_response = b''
         self.extra_responses = 0
@@ -398,6 +401,9 @@
     async def _run(self, incoming, request_id, headers, echo):
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        if incoming.body in self.deadly_bodies:
+            self.end()
+            await asyncio.sleep(60)
         if self.endless:
             await self._send_without_end(incoming, request_id)
             return
@@ -428,6 +434,13 @@
             return
         await self._stream(incoming, headers, response_headers, model)
 
+    def end(self):
+        """End as a process does: its connections and its port are closed."""
+        self.ended = True
+        self.server.stop()
+        for task in list(self.server._tasks):
+            task.cancel()
+
     async def _send_without_end(self, incoming, request_id):
         channel = incoming._channel
         # The bytes before the bar are sent once.
--- /dev/null
+++ b/src/clementineline/platform/tests/test_crashes.py
@@ -0,0 +1,208 @@
+"""Requests under which their endpoints end.
+
+No more than a few endpoints may end under one request, over all processes and
+repetitions. A crash for another reason must cost no request its answer.
+"""
+
+import asyncio
+
+import pytest
+
+from clementineline.coordination import crashes
+from clementineline.platform.tests import standin
+from clementineline.transport import http
+
+DEADLY = b'deadly'
+# More than this, and the last endpoints of a service are spent.
+ENDED_MAX = 3
+PROCESSES = ('gateway-1', 'gateway-2')
+
+
+@pytest.fixture
+async def service(served, wait_until):
+    """Start six endpoints that a certain request ends, and two gateways."""
+    for number in range(2, 7):
+        await served.start_server(f'i-desk{number}', 'desk')
+    for name, server in served.servers.items():
+        if name.startswith('i-desk'):
+            server.deadly_bodies.add(DEADLY)
+            server.delay_s = 0.02
+    await served.start_gateway('gateway-2')
+    for gateway in served.gateways.values():
+        await wait_until(
+            lambda gateway=gateway: (
+                len(gateway._directory.list_usable('desk')) == 6
+            )
+        )
+        await gateway._members.refresh()
+    return served
+
+
+class Caller:
+    """Sends requests with a new id each time."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._number = 0
+
+    async def call(self, name, body, path='/live/a'):
+        self._number += 1
+        status, _, answer = await self._deployment.call(
+            self._deployment.gateways[name],
+            'POST',
+            path,
+            ((b'Request-Id', b'r%d' % self._number),),
+            body,
+        )
+        return status, answer
+
+
+@pytest.fixture
+def caller(service):
+    return Caller(service)
+
+
+def count_ended(deployment):
+    return sum(server.ended for server in deployment.servers.values())
+
+
+class TestDeadlyCalls:
+    async def test_few_endpoints_end_over_all_processes_and_repetitions(
+        self, service, caller
+    ):
+        """The users' day ended 16 endpoints with one request."""
+        loop = asyncio.get_running_loop()
+        for _ in range(3):
+            for name in PROCESSES:
+                started = loop.time()
+                status, _ = await caller.call(name, DEADLY)
+                assert status == 502
+                assert loop.time() - started < 0.5
+                # Time in which a process tells the others.
+                await asyncio.sleep(0.05)
+        assert 1 <= count_ended(service) <= ENDED_MAX
+        for name in PROCESSES:
+            assert service.gateways[name]._crash_record.refused
+
+    async def test_other_requests_of_the_service_are_answered(
+        self, service, caller
+    ):
+        for name in PROCESSES:
+            await caller.call(name, DEADLY)
+        for name in PROCESSES:
+            for number in range(10):
+                body = b'q%d' % number
+                answer = await caller.call(name, body)
+                assert answer == (200, b'answer to ' + body)
+
+    async def test_process_that_starts_later_knows_it(
+        self, service, caller, wait_until
+    ):
+        for name in PROCESSES:
+            await caller.call(name, DEADLY)
+        ended = count_ended(service)
+        started = await service.start_gateway('gateway-3')
+        await wait_until(lambda: started.is_ready)
+        await wait_until(lambda: len(started._crash_record) == 1)
+        status, _ = await caller.call('gateway-3', DEADLY)
+        assert status == 502
+        assert count_ended(service) == ended
+
+    async def test_crash_for_another_reason_costs_no_answer(
+        self, service, caller
+    ):
+        """Several endpoints end, one after the other, with calls at work."""
+        for server in service.servers.values():
+            server.delay_s = 0.1
+        calls = []
+        for number in range(24):
+            name = PROCESSES[number % 2]
+            calls.append(
+                asyncio.create_task(caller.call(name, b'q%d' % number))
+            )
+        await asyncio.sleep(0.05)
+        service.servers['i-desk2'].end()
+        answers = await asyncio.gather(*calls)
+        assert {status for status, _ in answers} == {200}
+        # Those that the endpoint held may be sent again, also later.
+        for number in range(24):
+            status, _ = await caller.call(PROCESSES[0], b'q%d' % number)
+            assert status == 200
+
+    async def test_broken_connection_of_an_endpoint_that_goes_on_is_no_crash(
+        self, service, caller
+    ):
+        for name, server in service.servers.items():
+            if name.startswith('i-desk'):
+                server.raw_answer = b'HTTP/1.1 200 OK\r\n'
+        for _ in range(4):
+            await caller.call('gateway-1', b'q')
+        assert not len(service.gateways['gateway-1']._crash_record)
+
+
+class TestDeadlyStreams:
+    async def test_few_endpoints_end(self, service, caller, wait_until):
+        manifest = standin.build_manifest(2)
+        manifest['routes'].append(
+            {
+                **manifest['routes'][0],
+                'name': 'r-stream',
+                'pathPrefix': '/stream/',
+                'kind': 'stream',
+                'resumable': True,
+            }
+        )
+        service.store.put('config', 'main', manifest)
+        for name in PROCESSES:
+            routes = service.gateways[name]._routes
+            await wait_until(lambda routes=routes: routes.table.version == 2)
+        for _ in range(3):
+            for name in PROCESSES:
+                status, _ = await caller.call(name, DEADLY, '/stream/a')
+                assert status == 502
+                await asyncio.sleep(0.05)
+        assert 1 <= count_ended(service) <= ENDED_MAX
+
+
+class TestIdentity:
+    HEAD = http.Head(b'POST', b'/a?b=1', ((b'Host', b'shop.example'),))
+
+    def test_repetition_with_another_id_is_the_same(self):
+        other = http.Head(
+            b'POST',
+            b'/a?b=1',
+            ((b'Request-Id', b'x'), (b'host', b'shop.example')),
+        )
+        assert crashes.identify_request(
+            self.HEAD, b'q'
+        ) == crashes.identify_request(other, b'q')
+
+    @pytest.mark.parametrize(
+        ('head', 'body'),
+        [
+            (HEAD, b'other'),
+            (http.Head(b'POST', b'/a?b=2', HEAD.headers), b'q'),
+            (http.Head(b'PUT', b'/a?b=1', HEAD.headers), b'q'),
+            (http.Head(b'POST', b'/a?b=1', ((b'Host', b'other'),)), b'q'),
+            (http.Head(b'POST', b'/a?b=', HEAD.headers), b'1q'),
+        ],
+    )
+    def test_other_requests_are_others(self, head, body):
+        assert crashes.identify_request(
+            self.HEAD, b'q'
+        ) != crashes.identify_request(head, body)
+
+
+class TestMemory:
+    async def test_old_and_excess_requests_are_forgotten(
+        self, served, monkeypatch
+    ):
+        record = served.gateways['gateway-1']._crash_record
+        monkeypatch.setattr(crashes, 'REQUESTS_MAX', 5)
+        for number in range(9):
+            record._learn({f'k{number}': ['a@1', 'b@1']})
+        assert len(record) == 5
+        monkeypatch.setattr(crashes, 'KEEP_S', 0.0)
+        head = http.Head(b'POST', b'/a', ())
+        assert not record.find_refusal(head, b'', 'r1')
+        assert len(record) == 0
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from clementineline.coordination import connections
+from clementineline.coordination import crashes
 from clementineline.coordination import directory
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
@@ -91,11 +92,12 @@
             self.endpoint_directory = directory.Directory(
                 lambda n, v: v, clock, log
             )
+            members = types.SimpleNamespace(addresses={}, keepers=set())
             self.pool = connections.ConnectionPool(
                 ratelimits.RateLimits(
                     'gateway-1',
                     False,
-                    types.SimpleNamespace(addresses={}, keepers=set()),
+                    members,
                     self.endpoint_directory,
                     dialect.WireDialect.read_reply,
                     log,
@@ -108,6 +110,9 @@
                 self.pool,
                 dialect.WireDialect(),
                 'walvis-a',
+                crashes.CrashRecord(
+                    'gateway-1', members, asyncio.create_task, log
+                ),
                 log,
             )
 
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -15,6 +15,7 @@
     'Acknowledged',
     'Answer',
     'BodyAnswer',
+    'CrashesAnswer',
     'KeepTexts',
     'LimitsAnswer',
     'NotLeading',
@@ -23,6 +24,7 @@
     'PermitAnswer',
     'Question',
     'ReadBody',
+    'ReadCrashes',
     'ReadLimits',
     'ReadResults',
     'ReadTexts',
@@ -32,6 +34,7 @@
     'RequestPermit',
     'StatedLimit',
     'SubmissionEnded',
+    'TellCrashes',
     'TellLimits',
     'TextPart',
     'TextsAnswer',
@@ -97,7 +100,7 @@
 
 
 class Acknowledged(msgspec.Struct, frozen=True, tag='noted'):
-    """A :class:`SubmissionEnded` or :class:`TellLimits` was handled."""
+    """News of another process were handled."""
 
 
 class RelayCall(msgspec.Struct, frozen=True, tag='relay'):
@@ -227,6 +230,22 @@
     limits: dict[str, StatedLimit]
 
 
+class TellCrashes(msgspec.Struct, frozen=True, tag='tell_crashes'):
+    """Tells the instances of endpoints that ended under each request."""
+
+    ended: dict[str, list[str]]
+
+
+class ReadCrashes(msgspec.Struct, frozen=True, tag='read_crashes'):
+    """Asks a process for the endpoints that ended under requests."""
+
+
+class CrashesAnswer(msgspec.Struct, frozen=True, tag='crashes'):
+    """The instances of endpoints that ended under each request."""
+
+    ended: dict[str, list[str]]
+
+
 class WatchKind(msgspec.Struct, frozen=True, tag='watch'):
     """Asks a process for changes of the objects of a kind.
 
@@ -287,6 +306,8 @@
     | RequestPermit
     | TellLimits
     | ReadLimits
+    | TellCrashes
+    | ReadCrashes
     | WatchKind
 )
 Answer = (
@@ -300,6 +321,7 @@
     | TextsAnswer
     | PermitAnswer
     | LimitsAnswer
+    | CrashesAnswer
     | WatchedChanges
     | NotWatching
 )
--- a/src/clementineline/transport/channels.py
+++ b/src/clementineline/transport/channels.py
@@ -154,6 +154,8 @@
             _, channel = await loop.create_connection(
                 Channel, address.host, address.port
             )
+    except ConnectionRefusedError as error:
+        raise errors.NotListening(f'{address}: {error!r}') from error
     except (OSError, TimeoutError) as error:
         raise errors.ConnectionLost(f'{address}: {error!r}') from error
     return channel
