--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -222,7 +222,7 @@
                     attempts.head, attempts.body, attempts.request_id
                 )
                 if refusal and not pending:
-                    return verdicts.MayHaveRun(refusal)
+                    return choose_verdict(last, verdicts.MayHaveRun(refusal))
                 task = None
                 if not refusal:
                     task = self._start_attempt(attempts, now, bool(pending))
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -58,8 +58,8 @@
 class Term:
     """The time for which no other process can have held the lease.
 
-    It goes on when the lease lapses and is acquired again with nobody in
-    between, as after an outage of the store. State that a leader keeps is
+    It goes on when the lease lapses and is acquired again with no other holder
+    in between, as after an outage of the store. State that a leader keeps is
     valid for one term only: the next holder records results that this one
     does not see.
 
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -101,7 +101,9 @@
                 incoming.head, incoming.body, incoming.request_id
             )
             if refusal:
-                last = verdicts.MayHaveRun(refusal)
+                last = forwarding.choose_verdict(
+                    last, verdicts.MayHaveRun(refusal)
+                )
                 break
             refusals = len(stream.refused)
             state = forwarding.choose_endpoint(
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -200,6 +200,21 @@
             await stand_in.stop()
 
 
+@pytest.fixture
+async def store(log):
+    """Start an empty store."""
+    started = standin.StoreStandIn(log)
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+def client(store, log):
+    """Return a client of the store."""
+    return objects.ObjectStore(frames.parse_address(store.address), log)
+
+
 @pytest.fixture
 async def deployment(log):
     """Start a store with a manifest, and stop everything at the end."""
--- a/src/clementineline/platform/tests/test_foreign_entries.py
+++ b/src/clementineline/platform/tests/test_foreign_entries.py
@@ -10,10 +10,8 @@
 from clementineline.coordination import ledger
 from clementineline import errors
 from clementineline.platform import dialect
-from clementineline.platform import objects
 from clementineline.platform.tests import standin
 from clementineline.platform.tests import test_documents
-from clementineline.transport import frames
 
 # For tests that start processes.
 FEW_ODD_VALUES = [
@@ -34,19 +32,6 @@
     )
 
 
-@pytest.fixture
-async def store(log):
-    started = standin.StoreStandIn(log)
-    await started.start()
-    yield started
-    await started.stop()
-
-
-@pytest.fixture
-def client(store, log):
-    return objects.ObjectStore(frames.parse_address(store.address), log)
-
-
 @pytest.mark.parametrize('name', test_documents.ODD_VALUES)
 class TestReadingTheStore:
     """One unreadable entry hid all entries of its page (review/5)."""
--- a/src/clementineline/platform/tests/test_objects.py
+++ b/src/clementineline/platform/tests/test_objects.py
@@ -8,19 +8,6 @@
 from clementineline.transport import frames
 
 
-@pytest.fixture
-async def store(log):
-    started = standin.StoreStandIn(log)
-    await started.start()
-    yield started
-    await started.stop()
-
-
-@pytest.fixture
-def client(store, log):
-    return objects.ObjectStore(frames.parse_address(store.address), log)
-
-
 class TestWrites:
     async def test_creation_and_replacement_are_conditional(
         self, store, client
