Clear a request of crashes once it is answered

Callers could see: a request that many callers send (a status page) refused with 502 for ten minutes by all gateways, because it had been at two endpoints that ended for other reasons, minutes apart. Found by reading; the test with three crashes and 24 callers of the same request showed 502 while marks were only dropped with their age.

Cause: marks added up whatever happened between the crashes.

Change: an answer clears the request of the instances that ended before it. Instances that others found to have ended get requests last.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -314,6 +314,9 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
+            self._crash_record.clear(
+                attempts.head, attempts.body, attempts.request_id
+            )
         elif sent:
             state.record_failure(loop.time())
         return verdict
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -172,6 +172,9 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
+            self._crash_record.clear(
+                incoming.head, incoming.body, incoming.request_id
+            )
         elif sent:
             state.record_failure(loop.time())
         return verdict
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -101,6 +101,7 @@
             lambda coroutine: self._tasks.start(coroutine, 'crashes'),
             log,
         )
+        self._crash_record.on_ended = self._handle_ended_instances
         self._pool.on_leaving = self._directory.mark_leaving
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
@@ -183,6 +184,15 @@
         limited = self._limits.list_limited()
         process_metrics.set('endpoints_limited', len(limited))
 
+    def _handle_ended_instances(self, instances):
+        """Let endpoints that others found to have ended get requests last."""
+        now = asyncio.get_running_loop().time()
+        for state in self._directory.endpoints.values():
+            if crashes.name_instance(state) not in instances:
+                continue
+            if now >= state.backoff_until:
+                state.record_failure(now)
+
     def _count_endpoint_request(self, purpose):
         self.metrics.count('endpoint_requests_total', purpose=purpose)
 
--- a/src/clementineline/platform/tests/test_crashes.py
+++ b/src/clementineline/platform/tests/test_crashes.py
@@ -10,6 +10,7 @@
 
 from clementineline.coordination import crashes
 from clementineline.platform.tests import standin
+from clementineline.state import questions
 from clementineline.transport import http
 
 DEADLY = b'deadly'
@@ -85,10 +86,20 @@
             assert service.gateways[name]._crash_record.refused
 
     async def test_other_requests_of_the_service_are_answered(
-        self, service, caller
+        self, service, caller, wait_until
     ):
         for name in PROCESSES:
             await caller.call(name, DEADLY)
+        # Their entries lapse, as they write nothing any more.
+        for name, server in service.servers.items():
+            if server.ended:
+                service.store.remove('servers', name)
+        left = 6 - count_ended(service)
+        for name in PROCESSES:
+            known = service.gateways[name]._directory
+            await wait_until(
+                lambda known=known: len(known.list_usable('desk')) == left
+            )
         for name in PROCESSES:
             for number in range(10):
                 body = b'q%d' % number
@@ -129,6 +140,29 @@
             status, _ = await caller.call(PROCESSES[0], b'q%d' % number)
             assert status == 200
 
+    async def test_crashes_far_apart_do_not_add_up_for_a_common_request(
+        self, service, caller
+    ):
+        """Many callers send the same request, and some are at each crash."""
+        servers = service.servers
+        for name in ('i-desk2', 'i-desk3', 'i-desk4'):
+            for server in servers.values():
+                server.delay_s = 0.1
+            calls = [
+                asyncio.create_task(
+                    caller.call(PROCESSES[number % 2], b'same')
+                )
+                for number in range(24)
+            ]
+            await asyncio.sleep(0.05)
+            servers[name].end()
+            answers = await asyncio.gather(*calls)
+            assert {status for status, _ in answers} == {200}
+            await asyncio.sleep(0.05)
+        assert count_ended(service) == 3
+        for name in PROCESSES:
+            assert not len(service.gateways[name]._crash_record)
+
     async def test_broken_connection_of_an_endpoint_that_goes_on_is_no_crash(
         self, service, caller
     ):
@@ -193,6 +227,35 @@
         ) != crashes.identify_request(head, body)
 
 
+class TestMarks:
+    """Processes are told in any order."""
+
+    HEAD = http.Head(b'POST', b'/a', ())
+
+    @pytest.mark.parametrize('order', [(0, 1, 2), (2, 1, 0), (1, 2, 0)])
+    async def test_crashes_before_an_answer_do_not_count(self, served, order):
+        record = served.gateways['gateway-1']._crash_record
+        key = crashes.identify_request(self.HEAD, b'')
+        first = frozenset(['a@1'])
+        told = [
+            questions.CrashMarks(first),
+            questions.CrashMarks(first, first),
+            questions.CrashMarks(frozenset(['b@1'])),
+        ]
+        for number in order:
+            record._learn({key: told[number]})
+        assert not record.find_refusal(self.HEAD, b'', 'r1')
+        record._learn({key: questions.CrashMarks(frozenset(['c@1']))})
+        assert record.find_refusal(self.HEAD, b'', 'r1')
+
+    async def test_ended_endpoint_gets_requests_last(self, served):
+        gateway = served.gateways['gateway-1']
+        state = gateway._directory.endpoints['i-desk']
+        marks = questions.CrashMarks(frozenset([crashes.name_instance(state)]))
+        gateway._crash_record._learn({'k': marks})
+        assert state.backoff_until > asyncio.get_running_loop().time()
+
+
 class TestMemory:
     async def test_old_and_excess_requests_are_forgotten(
         self, served, monkeypatch
@@ -200,7 +263,8 @@
         record = served.gateways['gateway-1']._crash_record
         monkeypatch.setattr(crashes, 'REQUESTS_MAX', 5)
         for number in range(9):
-            record._learn({f'k{number}': ['a@1', 'b@1']})
+            marks = questions.CrashMarks(frozenset(['a@1', 'b@1']))
+            record._learn({f'k{number}': marks})
         assert len(record) == 5
         monkeypatch.setattr(crashes, 'KEEP_S', 0.0)
         head = http.Head(b'POST', b'/a', ())
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -15,6 +15,7 @@
     'Acknowledged',
     'Answer',
     'BodyAnswer',
+    'CrashMarks',
     'CrashesAnswer',
     'KeepTexts',
     'LimitsAnswer',
@@ -230,20 +231,32 @@
     limits: dict[str, StatedLimit]
 
 
+class CrashMarks(msgspec.Struct, frozen=True):
+    """Instances of endpoints that ended while they held a request.
+
+    :param ended: all of them
+    :param cleared: those that do not count any more, because the request was
+        answered after they had ended
+    """
+
+    ended: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+
+
 class TellCrashes(msgspec.Struct, frozen=True, tag='tell_crashes'):
-    """Tells the instances of endpoints that ended under each request."""
+    """Tells the :class:`CrashMarks` of requests."""
 
-    ended: dict[str, list[str]]
+    marks: dict[str, CrashMarks]
 
 
 class ReadCrashes(msgspec.Struct, frozen=True, tag='read_crashes'):
-    """Asks a process for the endpoints that ended under requests."""
+    """Asks a process for the crashes under requests that it knows."""
 
 
 class CrashesAnswer(msgspec.Struct, frozen=True, tag='crashes'):
-    """The instances of endpoints that ended under each request."""
+    """The :class:`CrashMarks` of requests that a process knows."""
 
-    ended: dict[str, list[str]]
+    marks: dict[str, CrashMarks]
 
 
 class WatchKind(msgspec.Struct, frozen=True, tag='watch'):
