Soak: judge calls to leaving endpoints by their time of arrival

So the call went to another instance, which the users' page allows. The check compared the time at which the caller had sent it.

Change: what counts is the arrival at the endpoint while that instance was there; the notice time still counts from the caller's sending.

--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -36,6 +36,7 @@
     """An endpoint that records each run and its order of arrival.
 
     :ivar run_ids: ids of the requests that ran, one entry for each run
+    :ivar arrived_at: loop times of the first runs, by request id
     :ivar versions_used: weights versions that produced events, by request id
     :ivar fences: fencing numbers of the orders, in the order of arrival
     """
@@ -43,11 +44,14 @@
     def __init__(self, log, name, versions=None):
         super().__init__(log, name, versions)
         self.run_ids = []
+        self.arrived_at = {}
         self.versions_used = {}
         self.fences = []
 
     async def _run(self, incoming, request_id, headers, echo):
         self.run_ids.append(request_id)
+        now = asyncio.get_running_loop().time()
+        self.arrived_at.setdefault(request_id, now)
         await asyncio.sleep(CALL_S)
         await super()._run(incoming, request_id, headers, echo)
 
