--- a/src/clementineline/coordination/tests/test_telling.py
+++ b/src/clementineline/coordination/tests/test_telling.py
@@ -54,7 +54,7 @@
         task.cancel()
 
 
-class TestLimitTeller:
+class TestTeller:
     async def test_silent_member_is_told_the_newest_limit_later(
         self, members, tell, wait_until
     ):
