Take over the lease of a holder that was lost in an outage

Contenders saw its last renewal only when the store answered again and waited for the whole duration from then: no process led until 3.6 s after the outage (10.16 s, the store was back at 6.53 s), and 22 of 35 requests of the first window were late. Change: the lease holds what the holder's monotonic clock reads. A holder that accepts no connection gets no time to renew first. Measured: the test of the takeover fails without the change.

--- a/src/clementineline/conftest.py
+++ b/src/clementineline/conftest.py
@@ -22,6 +22,8 @@
 class ManualClock:
     """Clock that a test sets."""
 
+    counts_suspension = True
+
     def __init__(self):
         self.time_s = 1000.0
 
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -6,6 +6,11 @@
 reads, which cost a tenth of a full read, and repeat the read in full if the
 renewal looks old. The object's version at the acquisition is the fencing token
 of each order.
+
+A holder also writes what its own monotonic clock reads. A contender that has
+seen several renewals of one holder knows by how much the two clocks differ at
+most, and so when a renewal was sent at the latest, also one that it first sees
+after an outage of the store. No clock is compared with the time of day.
 """
 
 import asyncio
@@ -50,6 +55,12 @@
     return holder if isinstance(holder, str) else UNREADABLE_HOLDER
 
 
+def _get_sent_at(current):
+    """Return what the holder's clock read at the renewal, None if unknown."""
+    sent_at = current.value.get('sent_at')
+    return sent_at if isinstance(sent_at, int | float) else None
+
+
 def _get_fence(current):
     fence = current.value.get('fence')
     return fence if isinstance(fence, int) else 0
@@ -102,19 +113,24 @@
         empty to publish none
     :param read_time_of_day: function that returns the wall-clock time, in
         seconds since the epoch
+    :param is_reachable: coroutine function that returns whether a process
+        accepts connections at an ``HOST:PORT``; None to assume that it does
     :ivar takeovers: number of times that another process was found to have
         held the lease, or may have
     """
 
     __slots__ = (
         '_clock',
+        '_clock_difference_s',
         '_is_candidate',
+        '_is_reachable',
         '_last_failure_at',
         '_log',
         '_platform',
         '_read_time_of_day',
         '_released_quiet_s',
         '_settings',
+        '_term_seen',
         '_valid_until',
         '_version',
         '_version_seen_at',
@@ -138,6 +154,7 @@
         is_candidate=lambda: True,
         address='',
         read_time_of_day=time.time,
+        is_reachable=None,
     ):
         self.holder = holder
         self.address = address
@@ -147,6 +164,12 @@
         self._clock = clock
         self._log = log
         self._is_candidate = is_candidate
+        self._is_reachable = is_reachable
+        # Holder and fencing token of the term that was last seen, and the
+        # largest possible difference of this process's clock from the
+        # holder's, in seconds.
+        self._term_seen = None
+        self._clock_difference_s = 0.0
         self._version = 0
         self._last_failure_at = None
         self._version_seen_at = None
@@ -197,6 +220,7 @@
         if self._looks_stale(current):
             current = await self._read(stale=False)
         now = self._clock.now()
+        sent_at = self._bound_sending_time(current, now)
         version = current.version if current else 0
         if current is not None:
             self.known_holder = _get_holder(current)
@@ -207,18 +231,51 @@
         # A stale read may return a version older than one already seen.
         if version > self._version or self._version_seen_at is None:
             self._version = version
-            self._version_seen_at = now
-            if not self._is_free(current):
-                return
+            self._version_seen_at = sent_at
         if not self._is_free(current):
             if now - self._version_seen_at < self._settings.duration_s:
                 return
-            if self._last_failure_at is not None:
-                # The holder may have been unable to reach the store too.
-                if now - self._last_failure_at < RENEWAL_GRACE_S:
-                    return
+            if await self._should_wait_for_holder(current, now):
+                return
         await self._acquire()
 
+    def _bound_sending_time(self, current, now):
+        """Return when the lease was written at the latest, on this clock.
+
+        A renewal is seen after it was sent, so the difference of the clocks is
+        at most that between any reading of a renewal and the time at which it
+        was seen. The smallest one of a term bounds the others.
+
+        :param current: the lease that was just read, or None
+        :param now: time of this process's clock, in seconds
+        """
+        sent_at = _get_sent_at(current) if current else None
+        if sent_at is None:
+            self._term_seen = None
+            return now
+        term = _get_holder(current), _get_fence(current) or current.version
+        difference_s = now - sent_at
+        if term == self._term_seen:
+            difference_s = min(difference_s, self._clock_difference_s)
+        self._term_seen = term
+        self._clock_difference_s = difference_s
+        return min(now, sent_at + difference_s)
+
+    async def _should_wait_for_holder(self, current, now):
+        """Return whether the holder gets time to renew after an outage.
+
+        The holder may have been unable to reach the store too. One that does
+        not accept connections has probably ended during the outage.
+        """
+        if self._last_failure_at is None:
+            return False
+        if now - self._last_failure_at >= RENEWAL_GRACE_S:
+            return False
+        address = current.value.get('address')
+        if self._is_reachable is None or not isinstance(address, str):
+            return True
+        return await self._is_reachable(address)
+
     async def _read(self, stale):
         started = self._clock.now()
         current = await self._platform.read(
@@ -314,6 +371,10 @@
         }
         if self.address:
             value['address'] = self.address
+        if self._clock.counts_suspension:
+            # A clock that stops while the VM is suspended would make the next
+            # renewal look older than it is.
+            value['sent_at'] = self._clock.now()
         return await self._platform.write(
             LEASE_KIND, LEASE_NAME, value, self._version
         )
--- a/src/clementineline/coordination/tests/test_lease.py
+++ b/src/clementineline/coordination/tests/test_lease.py
@@ -455,6 +455,93 @@
         assert waits == [1.0 * lease.NON_CANDIDATE_INTERVAL_FACTOR, 1.0]
 
 
+class TestTakeoverAfterOutage:
+    """The leader's VM was lost during an outage of the store.
+
+    No process led until 3.6 s after the outage, as contenders saw its last
+    renewal only then and waited for the whole duration (keetmans, trouble-3).
+    """
+
+    @pytest.fixture
+    def build_contender(self, store, log):
+        def build(clock, reachable):
+            async def is_reachable(address):
+                return reachable
+
+            timing = settings.LeaseSettings(
+                duration_s=4.0, renew_s=1.0, quiet_s=3.0
+            )
+            return lease.LeaseManager(
+                'b', store, timing, clock, log, is_reachable=is_reachable
+            )
+
+        return build
+
+    async def end_holder_in_outage(self, holder, contender, clock, store):
+        """Renew unseen, then have an outage in which the holder ends."""
+        holder.address = '127.0.0.1:1'
+        await holder.step()
+        await contender.step()
+        clock.time_s += 1.0
+        await holder.step()
+        store.down = True
+        for _ in range(6):
+            clock.time_s += 1.0
+            contender._last_failure_at = clock.time_s
+        store.down = False
+
+    async def test_renewal_seen_after_the_outage_counts_from_its_sending(
+        self, build_manager, build_contender, clock, store
+    ):
+        other = build_contender(clock, reachable=False)
+        holder = build_manager('a', clock)
+        await self.end_holder_in_outage(holder, other, clock, store)
+        await other.step()
+        assert other.holds()
+
+    async def test_reachable_holder_may_renew_first(
+        self, build_manager, build_contender, clock, store
+    ):
+        other = build_contender(clock, reachable=True)
+        holder = build_manager('a', clock)
+        await self.end_holder_in_outage(holder, other, clock, store)
+        await other.step()
+        assert not other.holds()
+        clock.time_s += lease.RENEWAL_GRACE_S
+        await other.step()
+        assert other.holds()
+
+    @pytest.mark.parametrize('ahead_s', [-5e8, -3.0, 3.0, 5e8])
+    async def test_no_difference_of_clocks_lets_two_processes_hold_it(
+        self, build_manager, build_contender, clock, ahead_s
+    ):
+        other_clock = type(clock)()
+        other_clock.time_s = clock.time_s + ahead_s
+        holder = build_manager('a', clock)
+        other = build_contender(other_clock, reachable=False)
+        for _ in range(40):
+            await holder.step()
+            await other.step()
+            assert not other.holds()
+            clock.time_s += 0.9
+            other_clock.time_s += 0.9
+
+    async def test_holder_that_started_again_is_measured_anew(
+        self, build_manager, build_contender, clock
+    ):
+        """The VM's clock starts from zero, so its readings look very old."""
+        other = build_contender(clock, reachable=False)
+        await build_manager('a', clock).step()
+        await other.step()
+        new_clock = type(clock)()
+        new_clock.time_s = 1.0
+        restarted = build_manager('a', new_clock)
+        await restarted.step()
+        await other.step()
+        assert restarted.holds()
+        assert not other.holds()
+
+
 class TestTerm:
     """What a leader keeps is valid until another one may have led."""
 
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -21,12 +21,17 @@
 from clementineline import errors
 from clementineline.state import questions
 from clementineline.state import textlog
+from clementineline.transport import channels
+from clementineline.transport import frames
 
 __all__ = ['Keeper']
 
 LEADERSHIP_CHECK_INTERVAL_S = 0.05
 SUBMISSIONS_WATCH_WAIT_S = 1.5
 RETIREMENT_CHECK_INTERVAL_S = 0.5
+# Processes answer a connection attempt within a few milliseconds, a busy one
+# within some tens.
+HOLDER_CONNECT_TIMEOUT_S = 0.25
 # A keeper that cannot read who the other processes are leads after this time.
 MEMBERS_TIMEOUT_S = 2.0
 # Longer than for other kinds: a VM has seconds to retire, and holds no state
@@ -34,6 +39,18 @@
 RETIREMENTS_WATCH_WAIT_S = 8.0
 
 
+async def _is_reachable(address):
+    """Return whether a process accepts connections at ``HOST:PORT``."""
+    try:
+        channel = await channels.open_channel(
+            frames.parse_address(address), HOLDER_CONNECT_TIMEOUT_S
+        )
+    except (errors.ConnectionLost, errors.SettingsError):
+        return False
+    channel.close()
+    return True
+
+
 class Keeper(base.BaseProcess):
     """Contends for the lease, and leads while it holds the lease.
 
@@ -55,6 +72,7 @@
             self._clock,
             log,
             address=settings.listen,
+            is_reachable=_is_reachable,
         )
         self._retirement_watcher = self._build_watcher(
             dialect.kinds.retirements,
