Accept the organisation of a call in the forwarders and the dialect

Cause: a call could only be sent with the headers of its caller, so an endpoint would see the caller's key and any name of an organisation that the caller chose. Change: forward() of both forwarders and build_call() take the name of the organisation. None leaves the headers as they are, '' drops Api-Key and Tenant, a name replaces them. Nothing passes it yet. Measured: TestCalls.test_call_carries_no_key_and_only_the_own_name fails before (no such parameter) and passes now; test_codecs, test_forwarding and test_streams pass (99).

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -130,6 +130,8 @@
     :param tried: ids of the endpoints that the call was sent to
     :param refused: ids of the endpoints that it was not sent to, because of
         their limits
+    :param organisation: name of the organisation that the call runs for, ''
+        for none; None if organisations are not in force
     """
 
     route: object
@@ -142,6 +144,7 @@
     purpose: str
     tried: list = dataclasses.field(default_factory=list)
     refused: list = dataclasses.field(default_factory=list)
+    organisation: str | None = None
 
 
 class CallForwarder:
@@ -181,6 +184,7 @@
         deadline,
         retry_failures=True,
         purpose=ratelimits.Purpose.CALL,
+        organisation=None,
     ):
         """Send a call to endpoints until a verdict is final.
 
@@ -189,6 +193,8 @@
         :param retry_failures: whether a response of 500 or more leads to an
             attempt at another endpoint, if the route allows it
         :param purpose: one of :class:`~ratelimits.Purpose`
+        :param organisation: name of the organisation that the call runs for,
+            '' for none; None if organisations are not in force
         :returns: a verdict
         """
         service = choose_service(route.targets, random.random())
@@ -201,6 +207,7 @@
             service,
             retry_failures,
             purpose,
+            organisation=organisation,
         )
         pending = set()
         try:
@@ -334,7 +341,10 @@
             if remaining_s <= 0:
                 return verdicts.NotRun('time limit before it was sent')
             head = self._dialect.build_call(
-                attempts.head, state.record, remaining_s
+                attempts.head,
+                state.record,
+                remaining_s,
+                organisation=attempts.organisation,
             )
             client.send_request(head, attempts.body)
             reply = await client.receive_head()
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -27,17 +27,26 @@
     """State of a stream to a caller.
 
     :param last_event: number of the last event that the caller has
+    :param organisation: name of the organisation that the stream runs for, ''
+        for none; None if organisations are not in force
     :ivar head_sent: whether the head of the response was sent to the caller
     :ivar tried: ids of the endpoints that the request was sent to
     :ivar refused: ids of the endpoints that it was not sent to, because of
         their limits
     """
 
-    __slots__ = ('head_sent', 'last_event', 'refused', 'tried')
+    __slots__ = (
+        'head_sent',
+        'last_event',
+        'organisation',
+        'refused',
+        'tried',
+    )
 
-    def __init__(self, last_event):
+    def __init__(self, last_event, organisation=None):
         self.head_sent = False
         self.last_event = last_event
+        self.organisation = organisation
         self.tried = []
         self.refused = []
 
@@ -84,17 +93,21 @@
         self._pool = pool
         self._zone = zone
 
-    async def forward(self, route, incoming, facts, deadline):
+    async def forward(
+        self, route, incoming, facts, deadline, organisation=None
+    ):
         """Relay a stream until it ends or no further attempt is possible.
 
         :param incoming: the caller's :class:`~http.IncomingRequest`
         :param facts: the call's :class:`~dialect.CallFacts`
         :param deadline: loop time at which the caller gives up, in seconds
+        :param organisation: name of the organisation that the stream runs
+            for, '' for none; None if organisations are not in force
         :returns: a verdict; :class:`~verdicts.Answered` with an empty body if
             the complete stream was sent to the caller
         """
         service = forwarding.choose_service(route.targets, random.random())
-        stream = _Stream(facts.last_event)
+        stream = _Stream(facts.last_event, organisation)
         last = None
         while len(stream.tried) < route.attempts_max:
             refusal = self._crash_record.find_refusal(
@@ -196,6 +209,7 @@
                 state.record,
                 deadline - loop.time(),
                 stream.last_event,
+                stream.organisation,
             )
             client.send_request(head, incoming.body)
             gap_s = DATA_GAP_TIMEOUT_S if route.resumable else None
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -29,6 +29,9 @@
         b'last-event-id',
     )
 )
+# Headers of callers and items that are not sent to an endpoint while
+# organisations are in force. A key is secret, and endpoints believe the name.
+_IDENTITY_HEADERS = frozenset((b'api-key', b'tenant'))
 
 
 def _read_rate(text):
@@ -58,7 +61,7 @@
     )
 
 
-def build_call(head, endpoint, timeout_s, resume_after=0):
+def build_call(head, endpoint, timeout_s, resume_after=0, organisation=None):
     """Build the request that forwards a caller's request to an endpoint.
 
     :param head: the :class:`~http.Head` of the caller's request
@@ -67,15 +70,22 @@
         None for no limit
     :param resume_after: number of the last event that the caller has, 0 for
         none
+    :param organisation: name of the organisation that the request runs for,
+        '' for none; None if organisations are not in force, which leaves the
+        caller's headers as they are
     :returns: a :class:`~http.Head`
     """
     headers = []
     for key, value in http.strip_connection_headers(head.headers):
         if key.lower() in (b'expect-instance', b'timeout-ms', b'expect'):
             continue
+        if organisation is not None and key.lower() in _IDENTITY_HEADERS:
+            continue
         if resume_after and key.lower() == b'last-event-id':
             continue
         headers.append((key, value))
+    if organisation:
+        headers.append((b'Tenant', organisation.encode()))
     if resume_after:
         headers.append((b'Last-Event-Id', b'%d' % resume_after))
     if timeout_s is not None:
--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -159,6 +159,28 @@
             (b'X-Mine', b'1'),
         ]
 
+    @pytest.mark.parametrize(
+        ('organisation', 'sent'),
+        [
+            (None, [(b'Api-Key', b'k1'), (b'tenant', b'forged')]),
+            ('', []),
+            ('north', [(b'Tenant', b'north')]),
+        ],
+    )
+    def test_call_carries_no_key_and_only_the_own_name(
+        self, endpoint, organisation, sent
+    ):
+        # An endpoint that is sent a key, or a name that the caller made up,
+        # discloses the key or runs the request for another organisation.
+        head = http.Head(
+            b'GET', b'/', ((b'Api-Key', b'k1'), (b'tenant', b'forged'))
+        )
+        built = calls.build_call(
+            head, endpoint, None, organisation=organisation
+        )
+        own = (b'Expect-Instance', b'i-1')
+        assert [each for each in built.headers if each != own] == sent
+
     def test_refusal_of_a_request_that_did_not_run_is_recognised(self):
         facts = calls.read_reply(
             (
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -201,7 +201,7 @@
     def encode_page(self, page: submissions.ResultPage) -> bytes: ...
 
     def build_call(
-        self, head, endpoint, timeout_s, resume_after=0
+        self, head, endpoint, timeout_s, resume_after=0, organisation=None
     ) -> http.Head: ...
 
     def build_item_call(
