Decode organisations, their keys and the bounds of access

Cause: the manifest's tenants, the public flag of a route and the key of a request were ignored, so that no process could tell organisations apart. Change: RouteTable.organisations maps keys and names to organisations (None without the field or with null), CallFacts and BatchCall hold the key without representing it, a submission's record has the organisation's name and its items no key, an item call carries the recorded name only. Settings: bounds.failClosed (false) and bounds.revokeMs (5,000). Nothing is enforced yet.

--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from clementineline import errors
+from clementineline.platform import calls
 from clementineline.state import dialect
 from clementineline.state import submissions
 from clementineline.transport import numbers
@@ -81,7 +82,22 @@
     )
 
 
-def decode_submission(facts, route, service, body, now, routes_version):
+def _list_headers(headers, organisation):
+    """Return the headers of an item that are recorded.
+
+    :param organisation: as for :func:`decode_submission`
+    """
+    kept = []
+    for key, value in headers.items():
+        name = key.strip().lower().encode(errors='replace')
+        if organisation is None or name not in calls.IDENTITY_HEADERS:
+            kept.append((key, value))
+    return tuple(kept)
+
+
+def decode_submission(
+    facts, route, service, body, now, routes_version, organisation=None
+):
     """Decode a batch submission.
 
     :param facts: the request's :class:`~dialect.CallFacts`
@@ -90,6 +106,8 @@
     :param body: body of the request, JSON bytes
     :param now: Unix time, in seconds
     :param routes_version: version of the route table that holds the route
+    :param organisation: name of the organisation that submits it, '' for
+        none; None if organisations are not in force
     :returns: a :class:`~submissions.Submission`
     :raises errors.RequestError: if the body is malformed
     """
@@ -107,7 +125,7 @@
             submissions.Item(
                 id=item.id,
                 path=item.path,
-                headers=tuple(item.headers.items()),
+                headers=_list_headers(item.headers, organisation),
                 body=item.body,
                 tokens=item.tokens,
                 group=item.group,
@@ -132,6 +150,7 @@
         accepted_at=now,
         items=tuple(items),
         routes_version=routes_version,
+        organisation=organisation,
     )
 
 
@@ -158,17 +177,21 @@
     """
     path = head.path.decode('latin-1')
     query = dict(urllib.parse.parse_qsl(head.query.decode('latin-1')))
+    caller_key = calls.read_key(head.headers)
     if path.startswith(ITEMS_PATH) and head.method == b'GET':
         return dialect.BatchCall(
             dialect.BatchVerb.READ_ITEM,
             path[len(ITEMS_PATH) :],
             item_id=query.get('id', ''),
+            key=caller_key,
         )
     if not path.startswith(SUBMISSIONS_PATH):
         return None
     if head.method == b'DELETE':
         return dialect.BatchCall(
-            dialect.BatchVerb.END, path[len(SUBMISSIONS_PATH) :]
+            dialect.BatchVerb.END,
+            path[len(SUBMISSIONS_PATH) :],
+            key=caller_key,
         )
     if head.method != b'GET':
         return None
@@ -181,4 +204,5 @@
         path[len(SUBMISSIONS_PATH) :],
         after=numbers.read_integer(query.get('after')) or 0,
         wait_s=min(wait_ms / 1000, READ_WAIT_MAX_S),
+        key=caller_key,
     )
--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -5,11 +5,13 @@
 from clementineline.transport import numbers
 
 __all__ = [
+    'IDENTITY_HEADERS',
     'build_call',
     'build_item_call',
     'build_retry_headers',
     'build_reward_call',
     'read_call',
+    'read_key',
     'read_reply',
 ]
 
@@ -31,7 +33,7 @@
 )
 # Headers of callers and items that are not sent to an endpoint while
 # organisations are in force. A key is secret, and endpoints believe the name.
-_IDENTITY_HEADERS = frozenset((b'api-key', b'tenant'))
+IDENTITY_HEADERS = frozenset((b'api-key', b'tenant'))
 
 
 def _read_rate(text):
@@ -40,6 +42,23 @@
     return None if rate is None or rate < 0 else rate
 
 
+def read_key(headers):
+    """Read the key of a caller's request.
+
+    :param headers: ``(name, value)`` pairs, bytes
+    :returns: the key; None if there is none, '' if there are several
+    """
+    values = set()
+    for key, value in headers:
+        if key.lower() == b'api-key':
+            values.add(value)
+    if not values:
+        return None
+    if len(values) > 1:
+        return ''
+    return values.pop().decode('utf-8', 'surrogateescape')
+
+
 def read_call(head):
     """Read the identity, destination and time limit of a caller's request.
 
@@ -58,6 +77,7 @@
         timeout_ms / 1000 if timeout_ms is not None else None,
         numbers.read_integer(http.find_header(head.headers, b'last-event-id'))
         or 0,
+        read_key(head.headers),
     )
 
 
@@ -79,7 +99,7 @@
     for key, value in http.strip_connection_headers(head.headers):
         if key.lower() in (b'expect-instance', b'timeout-ms', b'expect'):
             continue
-        if organisation is not None and key.lower() in _IDENTITY_HEADERS:
+        if organisation is not None and key.lower() in IDENTITY_HEADERS:
             continue
         if resume_after and key.lower() == b'last-event-id':
             continue
@@ -94,7 +114,9 @@
     return http.Head(head.method, head.target, tuple(headers))
 
 
-def build_item_call(submission, item, endpoint, resume_after):
+def build_item_call(
+    submission, item, endpoint, resume_after, organisation=None
+):
     """Build the request that runs an item of a submission on an endpoint.
 
     :param submission: the item's :class:`~submissions.Submission`
@@ -102,6 +124,7 @@
     :param endpoint: the :class:`~directory.EndpointRecord` to send it to
     :param resume_after: number of the last event received from an earlier
         run, 0 for none
+    :param organisation: as for :func:`build_call`
     :returns: a :class:`~http.Head`
     """
     headers = [
@@ -113,7 +136,11 @@
         name = key.encode('latin-1')
         if name.lower() in _RESERVED_HEADERS:
             continue
+        if organisation is not None and name.lower() in IDENTITY_HEADERS:
+            continue
         headers.append((name, value.encode('latin-1')))
+    if organisation:
+        headers.append((b'Tenant', organisation.encode()))
     if resume_after:
         headers.append((b'Last-Event-Id', b'%d' % resume_after))
     return http.Head(b'POST', item.path.encode('latin-1'), tuple(headers))
--- a/src/clementineline/platform/manifest.py
+++ b/src/clementineline/platform/manifest.py
@@ -1,12 +1,23 @@
 """Decoder of the operator's manifest into the route table."""
 
+import typing
+
 import msgspec
 
 from clementineline import errors
+from clementineline.state import organisations
 from clementineline.state import routes
 
 __all__ = ['decode_manifest']
 
+# The name is sent to endpoints as the value of a header.
+_OrganisationName = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z'
+    ),
+]
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -31,6 +42,7 @@
     # Age of a submission at which all its results are due.
     result_due_ms: float = 0.0
     single_version: bool = False
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -60,11 +72,20 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: _OrganisationName
+    api_keys: list[str] | None = None
+    priority: int | None = None
+
+
 class _Manifest(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Without the field, or with null, organisations are not in force. An empty
+    # list puts them in force, and no key is valid.
+    tenants: list[_Tenant] | None = None
 
 
 def _decode_route(route):
@@ -93,6 +114,7 @@
         queue_s=route.max_queue_s,
         due_s=route.result_due_ms / 1000,
         single_version=route.single_version,
+        public=route.public,
     )
 
 
@@ -109,6 +131,16 @@
     )
 
 
+def _decode_organisations(tenants):
+    if tenants is None:
+        return None
+    entries = []
+    for tenant in tenants:
+        organisation = organisations.Organisation(tenant.name, tenant.priority)
+        entries.append((organisation, tenant.api_keys or ()))
+    return organisations.OrganisationTable(entries)
+
+
 def decode_manifest(value):
     """Decode the manifest.
 
@@ -134,4 +166,5 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        _decode_organisations(manifest.tenants),
     )
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -45,6 +45,10 @@
     drain_ms: float = 2000.0
     # Time without disturbance after which a VM counts as undisturbed.
     stable_window_ms: float = 3000.0
+    # Whether requests that need a key are refused while the last evidence that
+    # the manifest is current is older than the time below.
+    fail_closed: bool = False
+    revoke_ms: float = 5000.0
 
 
 class _StoreSettings(msgspec.Struct, rename='camel'):
@@ -118,6 +122,10 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        access=settings.AccessSettings(
+            fail_closed=boot.bounds.fail_closed,
+            revoke_s=boot.bounds.revoke_ms / 1000,
+        ),
     )
 
 
--- a/src/clementineline/platform/tests/test_boundary.py
+++ b/src/clementineline/platform/tests/test_boundary.py
@@ -7,6 +7,7 @@
 # Names that only the platform's wire format uses. Words that other code may
 # use as well are left out.
 WIRE_NAMES = (
+    'Api-Key',
     'Expect-Instance',
     'Kv-Backup',
     'Kv-From',
@@ -27,8 +28,10 @@
     'api/order',
     'api/ready',
     'api/report',
+    'apiKeys',
     'coldLeftMs',
     'currentRev',
+    'failClosed',
     'fencingToken',
     'idleTimeoutMs',
     'kvCapacity',
@@ -40,6 +43,7 @@
     'numRunning',
     'pathPrefix',
     'resultDueMs',
+    'revokeMs',
     'singleVersion',
     'targetLatencyMs',
     'timeoutMs',
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -59,6 +59,8 @@
         given
     :param last_event: number of the last event that the caller received on
         an earlier stream, 0 for none
+    :param key: key that the caller sent; None if it sent none, '' if what it
+        sent cannot be a key
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     path: str
     timeout_s: float | None
     last_event: int = 0
+    key: str | None = dataclasses.field(default=None, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +125,7 @@
     :param after: position of the first result to read
     :param item_id: item to read, empty for other operations
     :param wait_s: how long to wait for a result before answering, in seconds
+    :param key: as in :class:`CallFacts`
     """
 
     verb: BatchVerb
@@ -129,6 +133,7 @@
     after: int = 0
     item_id: str = ''
     wait_s: float = 0.0
+    key: str | None = dataclasses.field(default=None, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,7 +200,14 @@
     def read_batch_call(self, head: http.Head) -> BatchCall | None: ...
 
     def decode_submission(
-        self, facts, route, service, body, now, routes_version
+        self,
+        facts,
+        route,
+        service,
+        body,
+        now,
+        routes_version,
+        organisation=None,
     ) -> submissions.Submission: ...
 
     def encode_page(self, page: submissions.ResultPage) -> bytes: ...
@@ -205,7 +217,7 @@
     ) -> http.Head: ...
 
     def build_item_call(
-        self, submission, item, endpoint, resume_after
+        self, submission, item, endpoint, resume_after, organisation=None
     ) -> http.Head: ...
 
     def build_reward_call(self, reward_call) -> http.Head: ...
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -235,6 +235,18 @@
     disturbed_s: PositiveFloat = 3.0
 
 
+class AccessSettings(_Settings):
+    """What a process does while it cannot confirm its route table.
+
+    :param fail_closed: whether requests that need a key are refused then
+    :param revoke_s: age of the last evidence that the table is current from
+        which it counts as not confirmed
+    """
+
+    fail_closed: bool = False
+    revoke_s: PositiveFloat = 5.0
+
+
 class GatewaySettings(_Settings):
     """Settings of a gateway.
 
@@ -251,6 +263,7 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param access: what it does while it cannot confirm its route table
     """
 
     name: Name
@@ -264,6 +277,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    access: AccessSettings = AccessSettings()
 
 
 class KeeperSettings(_Settings):
--- a/src/clementineline/state/submissions.py
+++ b/src/clementineline/state/submissions.py
@@ -76,6 +76,8 @@
     :param accepted_at: Unix time of its acceptance, in seconds
     :param routes_version: version of the route table under which it was
         accepted; 0 if unknown
+    :param organisation: name of the organisation that submitted it, '' if it
+        came without a valid key, None if organisations were not in force
     """
 
     id: str
@@ -89,6 +91,7 @@
     accepted_at: float
     items: tuple[Item, ...]
     routes_version: int = 0
+    organisation: str | None = None
 
 
 class Result(msgspec.Struct, frozen=True):
