Check the keys of organisations on calls and submissions

Cause: any caller could use any route and any submission, an endpoint was sent the caller's key and whatever name it chose, and texts kept under an item's id were joined into the result of another organisation. Calls, streams, items and reward calls carry the name of the organisation. The leader and the ledger refuse the submissions of others; an end asks the leader, so it costs no further call to the store. An id that another organisation has used gets 400, and separate objects of items belong to one organisation. Texts are cached and replicated by organisation. Errors of malformed requests and of unreadable pages of the store leave out the bytes, which may hold a key.

--- a/src/clementineline/coordination/carryover.py
+++ b/src/clementineline/coordination/carryover.py
@@ -15,7 +15,7 @@
     :param single_version: whether one weights version must generate the
         whole text
     """
-    cached = text_cache.take(run.item.id)
+    cached = text_cache.take(run.item.id, submission.organisation)
     if cached is None:
         return
     run.carried = cached.submission_id != submission.id
@@ -37,6 +37,7 @@
     :param open_submission: the :class:`~opensubmissions.OpenSubmission`
     """
     submission_id = open_submission.submission.id
+    organisation = open_submission.submission.organisation
     groups = {item.id: item.group for item in open_submission.submission.items}
     incomplete = {groups[item_id] for item_id in open_submission.runs}
     incomplete.update(groups[item_id] for item_id in open_submission.finished)
@@ -47,6 +48,7 @@
             run.list_events(),
             list(run.versions),
             run.whole,
+            organisation,
         )
         text_cache.put(item_id, cached)
     for result in [
@@ -63,5 +65,6 @@
             [result.text],
             list(result.versions),
             True,
+            organisation,
         )
         text_cache.put(result.item_id, cached)
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -71,6 +71,7 @@
         it, or None
     :param task: its running task, or None
     :param scoring_task: the task of its reward call, or None
+    :param organisation: that of its submission
     """
 
     item: submissions.Item
@@ -93,6 +94,7 @@
     state: object = None
     task: asyncio.Task | None = None
     scoring_task: asyncio.Task | None = None
+    organisation: str | None = None
 
     def forget_text(self):
         """Drop the events; the next run starts from the beginning."""
@@ -126,7 +128,7 @@
         )
 
 
-async def run_item(submission, run, state, pool, dialect):
+async def run_item(submission, run, state, pool, dialect, organisation=None):
     """Run an item on an engine, resuming after the events received so far.
 
     :param submission: the item's :class:`~submissions.Submission`
@@ -134,6 +136,8 @@
     :param state: the engine's :class:`~directory.EndpointState`
     :param pool: the :class:`~connections.ConnectionPool`
     :param dialect: the platform's dialect
+    :param organisation: name of the organisation that the item runs for, ''
+        for none; None if organisations are not in force
     :returns: ``(end, reason)`` with the end one of :class:`RunEnd`
     """
     try:
@@ -147,7 +151,11 @@
     run.run_id = uuid.uuid4().hex
     try:
         head = dialect.build_item_call(
-            submission, run.item, state.record, len(run.texts)
+            submission,
+            run.item,
+            state.record,
+            len(run.texts),
+            organisation,
         )
         client.send_request(head, run.item.body)
         async with asyncio.timeout(RESPONSE_HEAD_TIMEOUT_S):
--- a/src/clementineline/coordination/ledger.py
+++ b/src/clementineline/coordination/ledger.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import hashlib
 import urllib.parse
 
 import msgspec
@@ -26,6 +27,7 @@
 SUBMISSIONS_KIND = 'submissions'
 RESULTS_PREFIX = 'results-'
 ITEMS_PREFIX = 'items-'
+ORGANISATION_DIGEST_BYTES = 8
 # Share of the store's value size limit that is used for items or results; the
 # rest is left for the fields around them.
 PART_BYTES_SHARE = 0.7
@@ -88,6 +90,31 @@
     return urllib.parse.quote(name, safe='')
 
 
+def _name_items_kind(submission_id, organisation):
+    """Return the kind of the objects that hold a submission's items.
+
+    Each organisation has kinds of its own. Otherwise, items that one has
+    written without recording their submission would become part of a
+    submission of another one that uses the same id.
+
+    :param organisation: as in :class:`~submissions.Submission`
+    """
+    if organisation is None:
+        return ITEMS_PREFIX + _quote(submission_id)
+    digest = hashlib.blake2b(
+        organisation.encode(), digest_size=ORGANISATION_DIGEST_BYTES
+    ).hexdigest()
+    return f'{ITEMS_PREFIX}{digest}.{_quote(submission_id)}'
+
+
+def _encode_submission(submission):
+    value = msgspec.to_builtins(submission)
+    if submission.organisation is None:
+        # Records without organisations stay as earlier versions wrote them.
+        del value['organisation']
+    return value
+
+
 class Ledger:
     """Accepts, ends and reads submissions, and appends results.
 
@@ -106,6 +133,7 @@
         """Record a submission, unless its id is recorded already.
 
         :param submission: the :class:`~submissions.Submission`
+        :returns: whether this call has recorded it; False if the id is taken
         :raises errors.AmbiguousWrite: if it may have been recorded or may be
             recorded later
         :raises errors.PlatformError: if it was not recorded
@@ -113,23 +141,24 @@
         parts = split_items(submission.items, self.part_bytes)
         value = {}
         if len(parts) > 1:
-            await self._write_parts(submission.id, parts)
+            await self._write_parts(submission, parts)
             submission = msgspec.structs.replace(submission, items=())
             value['parts'] = len(parts)
-        value['submission'] = msgspec.to_builtins(submission)
+        value['submission'] = _encode_submission(submission)
         try:
             await self._store.write(
                 SUBMISSIONS_KIND, _quote(submission.id), value, 0
             )
         except errors.WriteConflict:
-            return
+            return False
+        return True
 
-    async def _write_parts(self, submission_id, parts):
+    async def _write_parts(self, submission, parts):
         """Write the items, which are unused until the submission is written.
 
         An ambiguous write of items is therefore reported as a failed one.
         """
-        kind = ITEMS_PREFIX + _quote(submission_id)
+        kind = _name_items_kind(submission.id, submission.organisation)
         for number, part in enumerate(parts):
             value = {'items': msgspec.to_builtins(part)}
             try:
@@ -139,15 +168,16 @@
                 continue
             except errors.AmbiguousWrite as error:
                 raise errors.PlatformUnavailable(
-                    f'items of {submission_id}: {error}'
+                    f'items of {submission.id}: {error}'
                 ) from error
 
-    async def read_items(self, submission_id, part_count):
+    async def read_items(self, submission_id, part_count, organisation=None):
         """Read the items of a submission from their separate objects.
 
+        :param organisation: as in :class:`~submissions.Submission`
         :raises errors.PlatformError: if an object is missing
         """
-        kind = ITEMS_PREFIX + _quote(submission_id)
+        kind = _name_items_kind(submission_id, organisation)
         items = []
         for number in range(part_count):
             found = await self._store.read(kind, _format_number(number))
@@ -183,6 +213,15 @@
             exist
         :raises errors.PlatformError: if its object cannot be decoded
         """
+        record = await self.read_record(submission_id)
+        return None if record is None else await self.complete(record)
+
+    async def read_record(self, submission_id):
+        """Read a submission's object, without separate items.
+
+        :returns: the :class:`SubmissionRecord`, or None if it does not exist
+        :raises errors.PlatformError: if its object cannot be decoded
+        """
         found = await self._store.read(SUBMISSIONS_KIND, _quote(submission_id))
         if found is None:
             return None
@@ -191,14 +230,17 @@
             raise errors.PlatformError(
                 f'{SUBMISSIONS_KIND}/{submission_id}: not a submission'
             )
-        return await self.complete(record)
+        return record
 
     async def complete(self, record):
         """Return a :class:`SubmissionRecord`'s submission with its items."""
         if not record.part_count:
             return record.submission
-        items = await self.read_items(record.submission.id, record.part_count)
-        return msgspec.structs.replace(record.submission, items=items)
+        submission = record.submission
+        items = await self.read_items(
+            submission.id, record.part_count, submission.organisation
+        )
+        return msgspec.structs.replace(submission, items=items)
 
     async def append(self, submission_id, number, chunk):
         """Create a chunk of results.
@@ -231,13 +273,19 @@
                 chunks.append(_decode_chunk(found))
         return chunks
 
-    async def remove(self, submission_id, chunk_count, part_count):
-        """Remove a submission's chunks, its items and then its object."""
-        for prefix, count in (
-            (RESULTS_PREFIX, chunk_count),
-            (ITEMS_PREFIX, part_count),
+    async def remove(
+        self, submission_id, chunk_count, part_count, organisation=None
+    ):
+        """Remove a submission's chunks, its items and then its object.
+
+        :param organisation: as in :class:`~submissions.Submission`
+        """
+        results_kind = RESULTS_PREFIX + _quote(submission_id)
+        items_kind = _name_items_kind(submission_id, organisation)
+        for kind, count in (
+            (results_kind, chunk_count),
+            (items_kind, part_count),
         ):
-            kind = prefix + _quote(submission_id)
             for number in range(count):
                 await self._store.delete(kind, _format_number(number))
         await self._store.delete(SUBMISSIONS_KIND, _quote(submission_id))
--- a/src/clementineline/coordination/scoring.py
+++ b/src/clementineline/coordination/scoring.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from clementineline.coordination import authorization
 from clementineline.coordination import directory
 from clementineline.coordination import ratelimits
 from clementineline import errors
@@ -116,7 +117,10 @@
                 await asyncio.sleep(WAIT_CHECK_S)
                 continue
             await self._wait_for_room(route)
-            verdict = await self._call(route, item.reward_call)
+            organisation = authorization.choose_organisation(
+                submission, self._get_routes()
+            )
+            verdict = await self._call(route, item.reward_call, organisation)
             self.on_verdict(verdicts.name_verdict(verdict))
             score = self._read_score(verdict)
             failed = (
@@ -184,7 +188,7 @@
             count += count_reward_slots(usable, now)
         return count
 
-    async def _call(self, route, reward_call):
+    async def _call(self, route, reward_call, organisation):
         # A reward call may be repeated, whatever its route says of others.
         route = msgspec.structs.replace(
             route, idempotent=True, attempts_max=ATTEMPTS_PER_CALL
@@ -199,6 +203,7 @@
                 deadline,
                 retry_failures=False,
                 purpose=ratelimits.Purpose.REWARD,
+                organisation=organisation,
             )
         finally:
             self._active[route.name] -= 1
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -9,6 +9,7 @@
 import time
 import zlib
 
+from clementineline.coordination import authorization
 from clementineline.coordination import carryover
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
@@ -234,7 +235,7 @@
         for item in submission.items:
             if item.id in entry.positions:
                 continue
-            run = itemruns.ItemRun(item)
+            run = itemruns.ItemRun(item, organisation=submission.organisation)
             carryover.restore_text(
                 self._cache,
                 submission,
@@ -515,7 +516,14 @@
         end, reason = itemruns.RunEnd.BROKEN, 'cancelled'
         try:
             end, reason = await itemruns.run_item(
-                submission, run, state, self._pool, self._dialect
+                submission,
+                run,
+                state,
+                self._pool,
+                self._dialect,
+                authorization.choose_organisation(
+                    submission, self._get_routes()
+                ),
             )
         finally:
             state.item_runs.discard(run)
@@ -644,7 +652,10 @@
         try:
             await self.load(entry)
             await self._ledger.remove(
-                submission_id, entry.chunk_count, entry.record.part_count
+                submission_id,
+                entry.chunk_count,
+                entry.record.part_count,
+                entry.submission.organisation,
             )
         except errors.PlatformError as error:
             self._log.info('submission not removed', e=str(error))
--- a/src/clementineline/coordination/tests/test_carryover.py
+++ b/src/clementineline/coordination/tests/test_carryover.py
@@ -4,6 +4,7 @@
 versions the submission does not allow.
 """
 
+import msgspec
 import pytest
 
 from clementineline.coordination import carryover
@@ -53,6 +54,25 @@
         # The group has priority even if the text is not reused.
         assert run.carried
 
+    @pytest.mark.parametrize(
+        ('owner', 'restored'), [('north', True), ('south', False), ('', False)]
+    )
+    def test_text_is_restored_only_within_one_organisation(
+        self, owner, restored
+    ):
+        # The result of one organisation would hold the text of another one.
+        text_cache = texts.TextCache()
+        for name in ('north', 'east'):
+            kept = texts.CachedText('s0', 'r1', [name], [1], organisation=name)
+            text_cache.put('i0', kept)
+        submission = msgspec.structs.replace(
+            build_submission(), organisation=owner
+        )
+        run = build_run(submission)
+        carryover.restore_text(text_cache, submission, run, False)
+        assert run.texts == (['north'] if restored else [])
+        assert run.carried == restored
+
     def test_text_of_the_same_submission_is_not_carried(self):
         text_cache = texts.TextCache()
         text_cache.put('i0', texts.CachedText('s1', 'r1', ['a'], [1]))
--- a/src/clementineline/coordination/tests/test_texts.py
+++ b/src/clementineline/coordination/tests/test_texts.py
@@ -205,6 +205,30 @@
         for sent in replicator._sent.values():
             assert replicator._collect([('s1', run)], sent) == ([], sent)
 
+    async def test_copies_of_equal_item_ids_are_kept_apart(self, keepers, log):
+        # A new leader would join the texts of two organisations.
+        known, caches = keepers
+        runs = []
+        for name in ('north', 'south'):
+            run = itemruns.ItemRun(
+                types.SimpleNamespace(id='i1'),
+                run_id=f'r-{name}',
+                texts=[name],
+                versions=[1],
+                organisation=name,
+            )
+            runs.append((f's-{name}', run))
+        replicator = texts.TextReplicator(known, log)
+        await replicator.send(runs)
+        assert all(
+            not replicator._collect(runs, sent)[0]
+            for sent in (replicator._own_sent, replicator._sent['k1'])
+        )
+        own = texts.TextCache()
+        await replicator.gather(['s-north', 's-south'], own)
+        for name in ('north', 'south'):
+            assert own.take('i1', name).events == [name]
+
     async def test_keeper_that_is_gone_is_replaced_as_holder(
         self, keepers, log
     ):
--- a/src/clementineline/coordination/texts.py
+++ b/src/clementineline/coordination/texts.py
@@ -49,6 +49,7 @@
     :param events: data of the events, from the first on
     :param versions: versions that generated them, in order of first use
     :param whole: whether the text is complete
+    :param organisation: that of the submission
     """
 
     submission_id: str
@@ -56,6 +57,7 @@
     events: list[str]
     versions: list[int]
     whole: bool = False
+    organisation: str | None = None
 
 
 def _count_bytes(text):
@@ -65,6 +67,9 @@
 class TextCache:
     """Holds texts by item id and evicts the oldest.
 
+    Items of different organisations may have the same id, and their texts are
+    held apart.
+
     It holds at most ``TEXTS_MAX`` texts of ``TEXTS_BYTES_MAX`` in total.
     """
 
@@ -72,6 +77,7 @@
 
     def __init__(self):
         self._bytes = 0
+        # By the organisation and the id of the item.
         self._texts = collections.OrderedDict()
 
     def put(self, item_id, text):
@@ -80,17 +86,18 @@
         A longer text is replaced only by a complete one, and a complete text
         stays. A text of another submission is always replaced.
         """
-        cached = self._texts.get(item_id)
+        cached = self._texts.get((text.organisation, item_id))
         if cached is not None and cached.submission_id == text.submission_id:
             if cached.whole:
                 return
             if not text.whole and len(cached.events) > len(text.events):
                 return
-        self.take(item_id)
-        self._texts[item_id] = text
+        self.take(item_id, text.organisation)
+        self._texts[text.organisation, item_id] = text
         self._bytes += _count_bytes(text)
         while len(self._texts) > TEXTS_MAX or self._bytes > TEXTS_BYTES_MAX:
-            self.take(next(iter(self._texts)))
+            organisation, oldest_id = next(iter(self._texts))
+            self.take(oldest_id, organisation)
 
     def extend(self, part):
         """Append a part to the cached text of its item.
@@ -102,7 +109,7 @@
         """
         events = part.events
         if part.first:
-            cached = self._texts.get(part.item_id)
+            cached = self._texts.get((part.organisation, part.item_id))
             if cached is None or cached.run_id != part.run_id:
                 return
             if part.first > len(cached.events):
@@ -114,12 +121,16 @@
             events,
             part.versions,
             part.whole,
+            part.organisation,
         )
         self.put(part.item_id, text)
 
-    def take(self, item_id):
-        """Remove and return a text; None if none is cached."""
-        text = self._texts.pop(item_id, None)
+    def take(self, item_id, organisation=None):
+        """Remove and return a text; None if none is cached.
+
+        :param organisation: that of the submission
+        """
+        text = self._texts.pop((organisation, item_id), None)
         if text is not None:
             self._bytes -= _count_bytes(text)
         return text
@@ -132,7 +143,7 @@
         """
         parts = []
         left = bytes_max
-        for item_id, text in reversed(self._texts.items()):
+        for (_, item_id), text in reversed(self._texts.items()):
             left -= sum(map(len, text.events))
             if left < 0:
                 break
@@ -141,12 +152,12 @@
         return parts
 
     def list_texts(self, submission_ids):
-        """Return a dict from item id to text for some submissions."""
+        """Return pairs of an item id and its text for some submissions."""
         wanted = set(submission_ids)
-        found = {}
-        for item_id, text in self._texts.items():
+        found = []
+        for (_, item_id), text in self._texts.items():
             if text.submission_id in wanted and text.events:
-                found[item_id] = text
+                found.append((item_id, text))
         return found
 
 
@@ -207,8 +218,8 @@
         self._clients = {}
         self._retry_at = {}
         self._holders = []
-        # What each holder has, and what this process has kept itself: by item
-        # id, the run and the number of its events.
+        # What each holder has, and what this process has kept itself: by the
+        # ids of submission and item, the run and the number of its events.
         self._sent = {}
         self._own_sent = {}
 
@@ -277,10 +288,11 @@
             run_id = f'{run.run_id}/whole' if run.whole else run.run_id
             events = run.list_events()
             count = len(events)
-            sent_run_id, first = sent_before.get(run.item.id, ('', 0))
+            key = (submission_id, run.item.id)
+            sent_run_id, first = sent_before.get(key, ('', 0))
             if sent_run_id != run_id:
                 first = 0
-            sent[run.item.id] = (run_id, count)
+            sent[key] = (run_id, count)
             if count <= first:
                 continue
             parts.append(
@@ -292,6 +304,7 @@
                     events[first:],
                     list(run.versions),
                     run.whole,
+                    run.organisation,
                 )
             )
         return parts, sent
@@ -393,7 +406,7 @@
             cache.extend(part)
         return questions.TextsAnswer([])
     parts = []
-    for item_id, text in cache.list_texts(question.submission_ids).items():
+    for item_id, text in cache.list_texts(question.submission_ids):
         parts.append(_build_part(item_id, text))
     return questions.TextsAnswer(parts)
 
@@ -407,4 +420,5 @@
         text.events,
         text.versions,
         text.whole,
+        text.organisation,
     )
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -9,6 +9,7 @@
 import random
 import time
 
+from clementineline.coordination import authorization
 from clementineline.coordination import forwarding
 from clementineline.coordination import leaders
 from clementineline.coordination import opensubmissions
@@ -74,11 +75,21 @@
             log,
         )
         self._leader_client = leaders.LeaderClient(store, log)
-        # Ids of ended submissions, so that a repeated end needs no write.
+        self._authorizer = authorization.Authorizer(
+            self._route_watcher,
+            self._read_routes,
+            settings.access,
+            settings.watch.routes_apply_s,
+            self._clock,
+        )
+        # Ended submissions, so that a repeated end needs no write: by id, the
+        # OrganisationAnswer, None if it was not needed.
         self._ended = collections.OrderedDict()
         # The StopSchedule of a planned stop, None before it.
         self._stop_schedule = None
         self._server = http.Server(self._handle, http.ServerLimits(), log)
+        # Organisations may be in force until a table says otherwise.
+        self._server.hides_headers = True
         self._readiness_server = http.Server(
             self._handle_readiness, http.ServerLimits(), log
         )
@@ -119,8 +130,30 @@
             took_s=round(loop.time() - started, 2),
         )
 
+    async def _read_routes(self):
+        """Read the route table from the store and adopt it if it is newer.
+
+        :raises errors.PlatformError: if it cannot be read
+        """
+        self.metrics.count('access_reads_total')
+        kinds = self._dialect.kinds
+        found = await self._store.read(kinds.routes, kinds.routes_name)
+        if found is None:
+            raise errors.PlatformError('no route table')
+        self._apply_routes([found], [], False)
+
+    def _collect_metrics(self, process_metrics):
+        super()._collect_metrics(process_metrics)
+        table = self._routes.table
+        known = table.organisations if table is not None else None
+        count = len(known) if known is not None else 0
+        process_metrics.set('organisations', count)
+
     def _handle_new_routes(self):
-        limits = self._routes.table.limits
+        table = self._routes.table
+        self._authorizer.replace_table(table)
+        self._server.hides_headers = table.organisations is not None
+        limits = table.limits
         self._server.limits = http.ServerLimits(
             limits.header_bytes,
             limits.body_bytes,
@@ -152,19 +185,30 @@
         if table is None or self._endpoint_watcher.version is None:
             self._refuse(incoming, facts, 503, 'no configuration yet')
             return
-        route = table.match(facts.host, facts.path)
-        if route is None:
-            status = 404 if self._route_watcher.current else 503
-            self._refuse(incoming, facts, status, 'no route')
+        access = await self._authorizer.authorize_call(facts)
+        if access.status:
+            self._count_refusal(access)
+            self._refuse(
+                incoming,
+                facts,
+                access.status,
+                access.reason,
+                access.retry_after_s,
+            )
             return
         incoming.request_id = facts.request_id
         if not facts.request_id:
             self._refuse(incoming, facts, 400, 'no request id')
             return
-        if route.batch:
-            await self._submit(incoming, route, facts, table.version)
+        if access.route.batch:
+            await self._submit(incoming, facts, access)
             return
-        await self._forward(incoming, route, facts)
+        await self._forward(incoming, access.route, facts, access.organisation)
+
+    def _count_refusal(self, access):
+        # A missing route is refused whatever the key is.
+        if access.status != 404:
+            self.metrics.count('access_refusals_total', status=access.status)
 
     def _refuse(
         self,
@@ -191,7 +235,7 @@
 
     # Live requests.
 
-    async def _forward(self, incoming, route, facts):
+    async def _forward(self, incoming, route, facts, organisation=None):
         limit_s = route.timeout_s
         if facts.timeout_s is not None:
             limit_s = min(limit_s, facts.timeout_s)
@@ -202,7 +246,7 @@
             return
         if route.streamed:
             verdict = await self._stream_forwarder.forward(
-                route, incoming, facts, deadline
+                route, incoming, facts, deadline, organisation
             )
         else:
             verdict = await self._call_forwarder.forward(
@@ -211,6 +255,7 @@
                 incoming.body,
                 facts.request_id,
                 deadline,
+                organisation=organisation,
             )
         loop = asyncio.get_running_loop()
         took_s = loop.time() - incoming.arrived_at
@@ -258,11 +303,12 @@
 
     # Submissions.
 
-    async def _submit(self, incoming, route, facts, routes_version):
+    async def _submit(self, incoming, facts, access):
         """Record a submission in the ledger and repeat ambiguous writes.
 
-        :param routes_version: version of the table that holds the route
+        :param access: its :class:`~authorization.Access`
         """
+        route = access.route
         service = forwarding.choose_service(route.targets, random.random())
         try:
             submission = self._dialect.decode_submission(
@@ -271,7 +317,8 @@
                 service,
                 incoming.body,
                 time.time(),
-                routes_version,
+                access.routes_version,
+                access.organisation,
             )
         except errors.RequestError as error:
             self._refuse(incoming, facts, error.status, str(error))
@@ -281,8 +328,10 @@
         ambiguous = False
         while True:
             try:
-                await self._ledger.accept(submission)
-                break
+                if await self._accept(submission):
+                    break
+                self._refuse(incoming, facts, 400, 'id is taken')
+                return
             except errors.AmbiguousWrite as error:
                 ambiguous = True
                 reason = str(error)
@@ -310,14 +359,97 @@
         )
         incoming.respond(202, (), b'')
 
+    async def _accept(self, submission):
+        """Record a submission.
+
+        :returns: whether it is recorded; False if another organisation has
+            recorded one with its id
+        :raises errors.AmbiguousWrite: if it may be recorded
+        :raises errors.PlatformError: if it is not recorded
+        """
+        if await self._ledger.accept(submission):
+            return True
+        if submission.organisation is None:
+            return True
+        try:
+            found = await self._find_organisation(submission.id)
+        except errors.PlatformError as error:
+            raise errors.AmbiguousWrite(f'id is taken: {error}') from error
+        if found is None:
+            raise errors.AmbiguousWrite('id is taken, its record not found')
+        return authorization.may_repeat(
+            found.organisation, submission.organisation
+        )
+
+    async def _find_organisation(self, submission_id):
+        """Find the organisation of a submission.
+
+        The leader knows it, so that the store is seldom asked.
+
+        :returns: a :class:`~questions.OrganisationAnswer`; None if the
+            submission is unknown
+        :raises errors.PlatformError: if the ledger cannot be read
+        """
+        question = questions.FindOrganisation(submission_id)
+        answer = await self._ask_owner(question)
+        if answer is not None:
+            return answer
+        record = await self._ledger.read_record(submission_id)
+        if record is None:
+            return None
+        return questions.OrganisationAnswer(record.submission.organisation)
+
     async def _handle_batch(self, incoming, call):
+        if self._routes.table is None:
+            # Organisations may be in force.
+            headers = self._dialect.build_retry_headers(
+                NOT_READY_RETRY_AFTER_S
+            )
+            incoming.respond(503, headers, b'no configuration yet\n')
+            return
+        reader = self._authorizer.name_reader(call.key)
+        status, headers, body = await self._serve_batch(call, reader)
+        if status == authorization.UNAUTHORISED:
+            access = await self._authorizer.authorize_reader(call.key)
+            if access.status:
+                self._count_refusal(access)
+                status, headers = access.status, ()
+                if status == 503:
+                    headers = self._dialect.build_retry_headers(
+                        access.retry_after_s
+                    )
+                body = f'{access.reason}\n'.encode()
+            else:
+                status, headers, body = await self._serve_batch(
+                    call, access.organisation
+                )
+        self.metrics.count(
+            'submissions_total', verb=call.verb.value, status=status
+        )
+        if status in (401, 404):
+            self._log.info(
+                'submission not found' if status == 404 else 'no valid key',
+                submission=call.submission_id,
+                verb=call.verb.value,
+                item=call.item_id,
+            )
+        incoming.respond(status, headers, body)
+
+    async def _serve_batch(self, call, reader):
+        """Serve a call on a submission.
+
+        :param reader: as :meth:`~authorization.Authorizer.name_reader`
+            returns it
+        :returns: ``(status, headers, body)``; the status is 401 if a valid
+            key is needed
+        """
         handle = {
             dialects.BatchVerb.READ_RESULTS: self._read_results,
             dialects.BatchVerb.READ_ITEM: self._read_item,
             dialects.BatchVerb.END: self._end_submission,
         }[call.verb]
         try:
-            status, headers, body = await handle(call)
+            return await handle(call, reader)
         except errors.ClementinelineError as error:
             self._log.info(
                 'submission call failed',
@@ -326,22 +458,7 @@
                 reason=str(error),
             )
             headers = self._dialect.build_retry_headers(STORE_RETRY_AFTER_S)
-            incoming.respond(503, headers, b'')
-            self.metrics.count(
-                'submissions_total', verb=call.verb.value, status=503
-            )
-            return
-        self.metrics.count(
-            'submissions_total', verb=call.verb.value, status=status
-        )
-        if status == 404:
-            self._log.info(
-                'submission not found',
-                submission=call.submission_id,
-                verb=call.verb.value,
-                item=call.item_id,
-            )
-        incoming.respond(status, headers, body)
+            return 503, headers, b''
 
     async def _ask_owner(self, question, wait_s=0.0):
         """Send a question to the owner of the submissions.
@@ -359,26 +476,42 @@
             None if isinstance(answer, questions.UnknownSubmission) else answer
         )
 
-    async def _read_results(self, call):
+    async def _read_results(self, call, reader):
         question = questions.ReadResults(
-            call.submission_id, call.after, call.wait_s
+            call.submission_id, call.after, call.wait_s, reader
         )
         answer = await self._ask_owner(question, call.wait_s)
+        if isinstance(answer, questions.Denied):
+            return _get_missing_status(reader), (), b''
         if answer is not None:
             page = answer.page
         else:
-            page = await self._read_recorded(call)
+            page = await self._read_recorded(call, reader)
             if page is None:
-                return 404, (), b''
+                return _get_missing_status(reader), (), b''
         headers = ((b'Content-Type', b'application/json'),)
         return 200, headers, self._dialect.encode_page(page)
 
-    async def _read_recorded(self, call):
+    async def _read_submission(self, submission_id, reader):
+        """Read a submission from the ledger.
+
+        :returns: the :class:`~submissions.Submission`; None if it is unknown
+            or the reader may not use it
+        """
+        record = await self._ledger.read_record(submission_id)
+        if record is None:
+            return None
+        if not authorization.may_use(record.submission.organisation, reader):
+            return None
+        return await self._ledger.complete(record)
+
+    async def _read_recorded(self, call, reader=None):
         """Read a page of results from the ledger.
 
-        :returns: the page; None if the submission is unknown
+        :returns: the page; None if the submission is unknown, or the reader
+            may not use it
         """
-        submission = await self._ledger.read(call.submission_id)
+        submission = await self._read_submission(call.submission_id, reader)
         if submission is None:
             return None
         results = []
@@ -386,16 +519,20 @@
             results.extend(chunk.results)
         return opensubmissions.build_page(submission, results, call.after)
 
-    async def _read_item(self, call):
+    async def _read_item(self, call, reader):
         """Read the body of an item that has no result yet."""
-        question = questions.ReadBody(call.submission_id, call.item_id)
+        question = questions.ReadBody(call.submission_id, call.item_id, reader)
         answer = await self._ask_owner(question)
+        if isinstance(answer, questions.Denied):
+            return _get_missing_status(reader), (), b''
         if answer is not None:
             body = answer.body
         else:
-            submission = await self._ledger.read(call.submission_id)
+            submission = await self._read_submission(
+                call.submission_id, reader
+            )
             if submission is None:
-                return 404, (), b''
+                return _get_missing_status(reader), (), b''
             listed_ids = set()
             for chunk in await self._ledger.read_chunks(call.submission_id):
                 listed_ids.update(result.item_id for result in chunk.results)
@@ -414,7 +551,15 @@
         """
         await self._ask_owner(questions.SubmissionEnded(submission_id))
 
-    async def _end_submission(self, call):
+    async def _end_submission(self, call, reader):
+        known = self._ended.get(call.submission_id)
+        if reader is not None:
+            if known is None:
+                known = await self._find_organisation(call.submission_id)
+            if known is None or not authorization.may_use(
+                known.organisation, reader
+            ):
+                return _get_missing_status(reader), (), b''
         if call.submission_id not in self._ended:
             try:
                 found = await self._ledger.end(call.submission_id)
@@ -423,8 +568,18 @@
                 found = await self._ledger.end(call.submission_id)
             if not found:
                 return 404, (), b''
-            self._ended[call.submission_id] = True
+            self._ended[call.submission_id] = known
             self._tasks.start(self._notify_owner(call.submission_id), 'end')
             if len(self._ended) > ENDED_SUBMISSIONS_MAX:
                 self._ended.popitem(last=False)
         return 200, (), b''
+
+
+def _get_missing_status(reader):
+    """Return the status of a call on a submission that is not to be found.
+
+    Without a valid key, a caller does not learn which submissions exist.
+
+    :param reader: as :meth:`~authorization.Authorizer.name_reader` returns it
+    """
+    return authorization.UNAUTHORISED if reader == '' else 404
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -9,6 +9,7 @@
 import math
 import random
 
+from clementineline.coordination import authorization
 from clementineline.coordination import departures
 from clementineline.coordination import forwarding
 from clementineline.coordination import lease
@@ -317,6 +318,14 @@
         if isinstance(question, questions.SubmissionEnded):
             owner.handle_recorded_end(question.submission_id)
             return questions.Acknowledged()
+        entry = owner.open_submissions.get(question.submission_id)
+        if entry is None:
+            return questions.UnknownSubmission()
+        recorded = entry.submission.organisation
+        if isinstance(question, questions.FindOrganisation):
+            return questions.OrganisationAnswer(recorded)
+        if not authorization.may_use(recorded, question.reader):
+            return questions.Denied()
         try:
             if isinstance(question, questions.ReadResults):
                 page = await owner.read(
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -33,6 +33,9 @@
 )
 DESCRIPTIONS = {
     'requests_total': 'Requests of callers, by what became of them.',
+    'access_refusals_total': 'Requests refused for their key, by status.',
+    'access_reads_total': 'Reads of the route table for unknown keys.',
+    'organisations': 'Organisations in force, 0 for none.',
     'request_seconds': 'From the whole request to the answer.',
     'attempts_total': 'Live calls sent to endpoints, by verdict.',
     'attempt_seconds': 'From the send of a live call to its verdict.',
--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -117,7 +117,8 @@
         page = msgspec.json.decode(b'{%s}' % rest, type=page_type)
     except _DECODE_ERRORS as error:
         raise errors.PlatformError(
-            f'page of {field}: {error}: {body[:80]!r}'
+            # The page may hold the keys of organisations.
+            f'page of {field}: {error}: {len(body)} bytes'
         ) from error
     return page, elements
 
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -29,6 +29,11 @@
     }
 
 
+def build_key(key):
+    """Return the headers that carry a key, none if it is None."""
+    return () if key is None else ((b'Api-Key', key.encode()),)
+
+
 class Deployment:
     """Gateways and keepers with a stand-in store and stand-in endpoints.
 
@@ -130,6 +135,7 @@
         scored=False,
         scorer_path='/live/score',
         path='/batch/',
+        key=None,
         **fields,
     ):
         """Submit a batch of items in groups of two; return the status.
@@ -137,6 +143,7 @@
         :param scored: whether each item has a reward call
         :param scorer_path: start of the paths of the reward calls
         :param path: prefix of the route
+        :param key: key of the sender, None for none
         """
         body = {
             'step': 0,
@@ -165,28 +172,31 @@
             gateway,
             'POST',
             f'{path}{submission_id}',
-            ((b'Request-Id', submission_id.encode()),),
+            ((b'Request-Id', submission_id.encode()), *build_key(key)),
             json.dumps(body).encode(),
         )
         return status
 
-    async def read(self, gateway, submission_id, after=0):
+    async def read(self, gateway, submission_id, after=0, key=None):
         """Read results from a position on.
 
         :returns: ``(status, page)``, the page None unless the status is 200
         """
         status, _, body = await self.call(
-            gateway, 'GET', f'/api/lots/{submission_id}?after={after}'
+            gateway,
+            'GET',
+            f'/api/lots/{submission_id}?after={after}',
+            build_key(key),
         )
         return status, json.loads(body) if status == 200 else None
 
-    async def read_all(self, gateway, submission_id, count):
+    async def read_all(self, gateway, submission_id, count, key=None):
         """Read results until there are ``count`` of them."""
         results = []
         async with asyncio.timeout(20):
             while len(results) < count:
                 status, page = await self.read(
-                    gateway, submission_id, len(results)
+                    gateway, submission_id, len(results), key
                 )
                 if status == 200:
                     results.extend(page['results'])
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -17,10 +17,13 @@
     'BodyAnswer',
     'CrashMarks',
     'CrashesAnswer',
+    'Denied',
+    'FindOrganisation',
     'KeepTexts',
     'LimitsAnswer',
     'NotLeading',
     'NotWatching',
+    'OrganisationAnswer',
     'PageAnswer',
     'PermitAnswer',
     'Question',
@@ -51,18 +54,41 @@
 
     :param after: position of the first result to read
     :param wait_s: how long to wait for a result, in seconds
+    :param reader: organisation of the reader, '' without a valid key; None if
+        organisations are not in force
     """
 
     submission_id: str
     after: int
     wait_s: float
+    reader: str | None = None
 
 
 class ReadBody(msgspec.Struct, frozen=True, tag='body'):
-    """Asks the leader for the body of an item without a recorded result."""
+    """Asks the leader for the body of an item without a recorded result.
+
+    :param reader: as in :class:`ReadResults`
+    """
 
     submission_id: str
     item_id: str
+    reader: str | None = None
+
+
+class FindOrganisation(msgspec.Struct, frozen=True, tag='find_organisation'):
+    """Asks the leader for the organisation of a submission."""
+
+    submission_id: str
+
+
+class OrganisationAnswer(msgspec.Struct, frozen=True, tag='organisation'):
+    """The organisation of a submission, as its record has it."""
+
+    organisation: str | None
+
+
+class Denied(msgspec.Struct, frozen=True, tag='denied'):
+    """The reader may not use the submission."""
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag='not_leading'):
@@ -144,6 +170,7 @@
         last one, in order of first use
     :param whole: whether ``events`` is the complete text, joined into one
         string
+    :param organisation: that of the submission
     """
 
     submission_id: str
@@ -153,6 +180,7 @@
     events: list[str]
     versions: list[int]
     whole: bool = False
+    organisation: str | None = None
 
 
 class KeepTexts(msgspec.Struct, frozen=True, tag='keep_texts'):
@@ -312,6 +340,7 @@
 Question = (
     ReadResults
     | ReadBody
+    | FindOrganisation
     | SubmissionEnded
     | RelayCall
     | KeepTexts
@@ -326,6 +355,8 @@
 Answer = (
     NotLeading
     | UnknownSubmission
+    | OrganisationAnswer
+    | Denied
     | Acknowledged
     | PageAnswer
     | BodyAnswer
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -41,6 +41,7 @@
     200: b'OK',
     202: b'Accepted',
     400: b'Bad Request',
+    401: b'Unauthorized',
     404: b'Not Found',
     405: b'Method Not Allowed',
     408: b'Request Timeout',
@@ -262,6 +263,8 @@
     :param limits: a :class:`ServerLimits`; may be replaced at any time
     :param log: logger
     :ivar draining: whether connections close after their current request
+    :ivar hides_headers: whether errors of malformed requests leave out the
+        bytes that they are about, which may be a caller's secret
     """
 
     __slots__ = (
@@ -272,6 +275,7 @@
         '_server',
         '_tasks',
         'draining',
+        'hides_headers',
         'limits',
     )
 
@@ -285,6 +289,7 @@
         self._idle_channels = set()
         self.limits = limits
         self.draining = False
+        self.hides_headers = False
 
     async def start(self, address):
         """Listen on an :class:`~frames.Address`."""
@@ -450,7 +455,10 @@
                     )
                 return None
         except h11.RemoteProtocolError as error:
-            self._refuse(channel, protocol, error.error_status_hint, error)
+            reason = str(error)
+            if self.hides_headers:
+                reason = reason.partition(':')[0]
+            self._refuse(channel, protocol, error.error_status_hint, reason)
         except errors.RequestError as error:
             self._refuse(channel, protocol, error.status, error)
         except TimeoutError:
