Soak: callers carry keys, endpoints check names

Cause: the soak sent no keys, so nothing checked under faults that endpoints see the right organisation, that they never see a key, or that a key which a gateway has dropped stays refused. Endpoints note names and keys, trainers also ask for the results of the other organisation.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -64,6 +64,7 @@
     finally:
         await fleet.stop()
     recorder.check_runs(fleet.servers.values())
+    recorder.check_organisations(fleet.servers.values())
     recorder.check_limits()
     recorder.check_departures(fleet.was_disturbed)
     recorder.check_orders(fleet.servers.values())
--- a/src/clementineline/platform/tests/soak/checks.py
+++ b/src/clementineline/platform/tests/soak/checks.py
@@ -56,6 +56,9 @@
     :ivar departures_told: loop times of the answers which said that their
         endpoint leaves, by request id
     :ivar limits: each :class:`Limit` that has ended
+    :ivar organisations: name of the organisation whose key a request was sent
+        with, by request id
+    :ivar invalid_ids: ids of the requests that were sent with a wrong key
     """
 
     def __init__(self):
@@ -68,6 +71,8 @@
         self.refused = set()
         self.unsafe_ids = set()
         self.unanswered = {}
+        self.organisations = {}
+        self.invalid_ids = set()
 
     def report(self, promise, text):
         self.violations.append(f'{promise}: {text}')
@@ -97,6 +102,25 @@
                     'without an answer',
                 )
 
+    def check_organisations(self, servers):
+        """Check the names and keys that endpoints saw."""
+        for server in servers:
+            for request_id in sorted(server.keyed_ids):
+                self.report('secret keys', f'{server.name} got {request_id}')
+            for request_id, names in server.names.items():
+                if request_id in self.invalid_ids:
+                    self.report(
+                        'valid keys', f'{server.name} ran {request_id}'
+                    )
+                    continue
+                expected = self.organisations.get(request_id, '')
+                if names != {expected}:
+                    self.report(
+                        'own organisation',
+                        f'{server.name} got {request_id} of {expected!r} '
+                        f'under {sorted(names)}',
+                    )
+
     def check_limits(self):
         """Count all requests, of all processes, to endpoints with a limit."""
         for limit in self.limits:
--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -13,9 +13,10 @@
 from clementineline.platform.tests import standin
 from clementineline.transport import frames
 
-__all__ = ['Fleet', 'SoakServer', 'build_routes']
+__all__ = ['ORGANISATIONS', 'Fleet', 'SoakServer', 'build_routes', 'name_key']
 
 PROGRAM = pathlib.Path(__file__).parents[5] / 'deploy' / 'clementineline.py'
+ORGANISATIONS = ('north', 'south')
 ZONES = ('walvis-a', 'swakop-b', 'langstrand-c')
 HTTP_PORT = 8161
 READY_PORT = 8167
@@ -39,6 +40,8 @@
     :ivar arrived_at: loop times of the first runs, by request id
     :ivar versions_used: weights versions that produced events, by request id
     :ivar fences: fencing numbers of the orders, in the order of arrival
+    :ivar names: names of organisations that came with a request, by its id
+    :ivar keyed_ids: ids of the requests that came with a key
     """
 
     def __init__(self, log, name, versions=None):
@@ -47,9 +50,14 @@
         self.arrived_at = {}
         self.versions_used = {}
         self.fences = []
+        self.names = collections.defaultdict(set)
+        self.keyed_ids = set()
 
     async def _run(self, incoming, request_id, headers, echo):
         self.run_ids.append(request_id)
+        self.names[request_id].add(headers.get('tenant', ''))
+        if 'api-key' in headers:
+            self.keyed_ids.add(request_id)
         now = asyncio.get_running_loop().time()
         self.arrived_at.setdefault(request_id, now)
         await asyncio.sleep(CALL_S)
@@ -69,10 +77,20 @@
         await super()._order(incoming)
 
 
+def name_key(organisation, version=None):
+    """Return a key of an organisation.
+
+    :param version: version of the manifest that adds it; None for the key
+        that all of them have
+    """
+    return f'key-of-{organisation}-{version or "all"}'
+
+
 def build_routes(version):
-    """Return a manifest; its version has a route of its own.
+    """Return a manifest; its version has a route and keys of its own.
 
-    The route of the version before stays, the older ones are gone.
+    The route of the version before stays, and the keys of the two versions
+    before. The older ones are gone.
     """
     manifest = standin.build_manifest(version)
     live, batch = manifest['routes']
@@ -91,6 +109,16 @@
             {**live, 'name': f'r-{number}', 'pathPrefix': f'/v{number}/'}
         )
     manifest['routes'] = routes
+    manifest['tenants'] = [
+        {
+            'name': name,
+            'apiKeys': [
+                name_key(name, number)
+                for number in (None, version - 2, version - 1, version)
+            ],
+        }
+        for name in ORGANISATIONS
+    ]
     return manifest
 
 
--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -4,6 +4,7 @@
 import itertools
 
 from clementineline import errors
+from clementineline.platform.tests.soak import fleet as fleets
 from clementineline.transport import http
 from clementineline.transport import outgoing
 
@@ -13,6 +14,7 @@
     'KeptCallers',
     'RouteWatcher',
     'Sender',
+    'build_identity',
     'is_set_within',
 ]
 
@@ -23,6 +25,14 @@
 # Limit on the gateways that get calls on kept connections.
 KEPT_GATEWAYS_MAX = 8
 ROUTE_INTERVAL_S = 0.1
+# One of this many calls has a wrong key.
+WRONG_KEY_EVERY = 10
+WRONG_KEY = 'key-of-nobody'
+
+
+def build_identity(key):
+    """Return the headers of a key, and a name that the caller made up."""
+    return ((b'Api-Key', key.encode()), (b'Tenant', b'forged'))
 
 
 class Sender:
@@ -36,10 +46,18 @@
         self._fleet = fleet
         self._rng = rng
 
-    async def send(self, method, path, body=b'', request_id='', name=None):
+    @property
+    def newest_version(self):
+        """Version of the newest manifest."""
+        return self._fleet.routes_version
+
+    async def send(
+        self, method, path, body=b'', request_id='', name=None, key=''
+    ):
         """Send a request on a connection of its own.
 
         :param name: gateway to use; any if None
+        :param key: key of an organisation
         :returns: ``(status, headers, body)``
         :raises errors.ProtocolError: if there is no complete response
         :raises TimeoutError: if there is none in time
@@ -48,6 +66,7 @@
         headers = [(b'Host', HOST)]
         if request_id:
             headers.append((b'Request-Id', request_id.encode()))
+        headers.extend(build_identity(key))
         head = http.Head(method, path.encode(), tuple(headers))
         async with asyncio.timeout(CALL_TIMEOUT_S):
             client = await outgoing.connect(
@@ -83,17 +102,28 @@
             while not stopping.is_set():
                 for path in ('/live/a', '/order/a'):
                     number = next(self._numbers)
-                    group.create_task(self._call(path, f'call-{number}'))
+                    group.create_task(self._call(path, number))
                     await asyncio.sleep(CALL_INTERVAL_S)
 
-    async def _call(self, path, request_id):
+    def _choose_key(self, number, request_id):
+        """Return the key of a call, which may be that of a new manifest."""
+        if number % WRONG_KEY_EVERY == 0:
+            self._recorder.invalid_ids.add(request_id)
+            return WRONG_KEY
+        name = fleets.ORGANISATIONS[number // 2 % 2]
+        self._recorder.organisations[request_id] = name
+        return fleets.name_key(name, self._sender.newest_version)
+
+    async def _call(self, path, number):
         recorder = self._recorder
+        request_id = f'call-{number}'
+        key = self._choose_key(number, request_id)
         if path.startswith('/order/'):
             recorder.unsafe_ids.add(request_id)
         body = request_id.encode()
         try:
             status, headers, answer = await self._sender.send(
-                b'POST', path, body, request_id
+                b'POST', path, body, request_id, key=key
             )
         except (errors.ProtocolError, TimeoutError) as error:
             recorder.statuses[path, type(error).__name__] += 1
@@ -103,6 +133,8 @@
             recorder.refused.add(request_id)
         if status == 404:
             recorder.report('routes', f'{request_id} got 404 on {path}')
+        if status == 401 and request_id not in recorder.invalid_ids:
+            recorder.report('valid keys', f'{request_id} with {key} got 401')
         if status != 200:
             return
         if answer != b'answer to ' + body:
@@ -150,7 +182,13 @@
         :returns: the connection if it can be used again, else None
         """
         request_id = f'kept-{next(self._numbers)}'
-        headers = ((b'Host', HOST), (b'Request-Id', request_id.encode()))
+        organisation = fleets.ORGANISATIONS[0]
+        self._recorder.organisations[request_id] = organisation
+        headers = (
+            (b'Host', HOST),
+            (b'Request-Id', request_id.encode()),
+            *build_identity(fleets.name_key(organisation)),
+        )
         head = http.Head(b'POST', b'/live/a', headers)
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -184,7 +222,7 @@
 
 
 class RouteWatcher:
-    """Checks that no gateway goes back to earlier routes.
+    """Checks that no gateway goes back to earlier routes or keys.
 
     :param sender: the :class:`Sender`
     :param recorder: the :class:`~checks.Recorder`
@@ -216,15 +254,31 @@
                     f'{name} used version {self._newest[name]}, '
                     f'then a route of version {gone}',
                 )
+            # It has no keys of the one before that.
+            gone -= 1
+            if gone > 0 and await self._has_route(
+                name, self._newest[name], gone
+            ):
+                self._recorder.report(
+                    'routes never go back',
+                    f'{name} used version {self._newest[name]}, '
+                    f'then a key of version {gone}',
+                )
             if await is_set_within(stopping, ROUTE_INTERVAL_S):
                 return
 
-    async def _has_route(self, name, version):
-        """Return whether a gateway answers on the route of a version."""
+    async def _has_route(self, name, version, key_version=None):
+        """Return whether a gateway answers on the route of a version.
+
+        :param key_version: version of the key, None for one that all have
+        """
         request_id = f'versioned-{next(self._numbers)}'
+        organisation = fleets.ORGANISATIONS[1]
+        self._recorder.organisations[request_id] = organisation
+        key = fleets.name_key(organisation, key_version)
         try:
             status, _, _ = await self._sender.send(
-                b'POST', f'/v{version}/a', b'lookup', request_id, name
+                b'POST', f'/v{version}/a', b'lookup', request_id, name, key
             )
         except (errors.ProtocolError, TimeoutError) as error:
             status = type(error).__name__
--- a/src/clementineline/platform/tests/soak/trainers.py
+++ b/src/clementineline/platform/tests/soak/trainers.py
@@ -7,6 +7,7 @@
 import json
 
 from clementineline import errors
+from clementineline.platform.tests.soak import fleet as fleets
 from clementineline.platform.tests.soak import load
 
 __all__ = ['Trainer']
@@ -66,6 +67,7 @@
             await self._submit(submission_id, number)
             accepted = True
             self.accepted += 1
+            await self._read_as_another(submission_id)
             if number % 2:
                 # Without reads, the owner learns of late writes only from
                 # its next one.
@@ -119,9 +121,31 @@
                 return
             await asyncio.sleep(READ_INTERVAL_S)
 
+    async def _read_as_another(self, submission_id):
+        """Check that another organisation does not get the results."""
+        own = _choose_organisation(submission_id)
+        (other,) = set(fleets.ORGANISATIONS) - {own}
+        try:
+            status, _, _ = await self._sender.send(
+                b'GET',
+                f'/api/lots/{submission_id}?after=0',
+                key=fleets.name_key(other),
+            )
+        except (errors.ProtocolError, TimeoutError) as error:
+            status = type(error).__name__
+        self._recorder.statuses['read as another', status] += 1
+        if status in (200, 401):
+            self._recorder.report(
+                'own submissions', f'{submission_id} gave {other} {status}'
+            )
+
     async def _submit(self, submission_id, number):
+        organisation = _choose_organisation(submission_id)
+        known = self._recorder.organisations
         items = []
         for index in range(ITEMS_PER_SUBMISSION):
+            known[f'{submission_id}-i{index}'] = organisation
+            known[f'{submission_id}-r{index}'] = organisation
             item = {
                 'id': f'{submission_id}-i{index}',
                 'path': f'/batch/{index}',
@@ -152,6 +176,7 @@
                     f'/batch/{submission_id}',
                     json.dumps(body).encode(),
                     submission_id,
+                    key=fleets.name_key(organisation),
                 )
             except (errors.ProtocolError, TimeoutError) as error:
                 status = type(error).__name__
@@ -167,14 +192,17 @@
         """
         try:
             status, _, answer = await self._sender.send(
-                b'GET', f'/api/lots/{submission_id}?after={after}'
+                b'GET',
+                f'/api/lots/{submission_id}?after={after}',
+                key=fleets.name_key(_choose_organisation(submission_id)),
             )
         except (errors.ProtocolError, TimeoutError) as error:
             status = type(error).__name__
         self._recorder.statuses['read', status] += 1
-        if status == 404:
+        if status in (401, 404):
             self._recorder.report(
-                'nothing lost after 202', f'{submission_id} is not found'
+                'nothing lost after 202',
+                f'{submission_id} got {status}',
             )
         if status != 200:
             return None
@@ -206,5 +234,9 @@
                 )
 
 
+def _choose_organisation(submission_id):
+    return fleets.ORGANISATIONS[int(submission_id[1:]) // 2 % 2]
+
+
 def _list_ids(results):
     return [result['id'] for result in results]
