Give no final refusal of a key right after a start

Cause: a gateway that starts within seconds of the removal of a key gave 401 to it, while other gateways may still use the manifest that has the key. Change: the first refusals of a process, for the time within which a change must be in force and a second, are 503 with a Retry-After. Measured: test_first_refusals_of_a_process_are_temporary fails before and passes now; test_authorization and test_access pass (60).

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -6,13 +6,15 @@
 good only after the table was read from the store once more. These reads are
 shared by all requests that wait and are limited in rate. As long as a table
 that allowed the request was in force moments ago, the refusal is temporary as
-well, since other processes may still use that table.
+well, since other processes may still use that table. A process that has just
+started does not know such tables, so its first refusals are temporary.
 
 The functions decide without I/O, in constant time for any number of keys.
 """
 
 import asyncio
 import dataclasses
+import math
 
 from clementineline import errors
 
@@ -44,7 +46,8 @@
 # Requests that wait hold their bodies. Others are told to retry.
 WAITING_MAX = 64
 # A replaced table counts as in force for the time within which a change must
-# be in force, and this time for the acknowledgement of the write.
+# be in force, and this time for the acknowledgement of the write. A process
+# knows of all such tables that long after its start.
 REPLACED_MARGIN_S = 1.0
 REPLACED_TABLES_MAX = 8
 
@@ -235,6 +238,7 @@
         '_reader',
         '_replaced',
         '_settings',
+        '_settled_at',
         '_table',
         '_watcher',
     )
@@ -246,15 +250,19 @@
         # Pairs of a replaced table and the time until which it counts.
         self._replaced = []
         self._settings = settings
+        # Time from which a refusal may be final.
+        self._settled_at = math.inf
         self._table = None
         self._watcher = watcher
 
     def replace_table(self, table):
         """Use a new route table, which the process has adopted."""
         now = self._clock.now()
+        until = now + self._apply_s + REPLACED_MARGIN_S
         kept = [pair for pair in self._replaced if now < pair[1]]
-        if self._table is not None:
-            until = now + self._apply_s + REPLACED_MARGIN_S
+        if self._table is None:
+            self._settled_at = until
+        else:
             kept.append((self._table, until))
         self._replaced = kept[-REPLACED_TABLES_MAX:]
         self._table = table
@@ -315,6 +323,8 @@
         if access.status != UNAUTHORISED:
             return access
         now = self._clock.now()
+        if now < self._settled_at:
+            return Access(UNAVAILABLE, 'started moments ago')
         for table, until in self._replaced:
             if now < until and not judge(table, Standing(True)).status:
                 return Access(UNAVAILABLE, 'key not valid any more')
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -91,6 +91,7 @@
         """Let the next refusal be final, as it is after some seconds."""
         authorizer = self.gateway._authorizer
         authorizer._replaced.clear()
+        authorizer._settled_at = 0.0
         authorizer._reader._started_at = None
 
     async def call(self, path, *keys, method='POST', more=()):
