--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -274,6 +274,21 @@
         """
         return name_reader(self._table, key, self._get_standing())
 
+    def has_other_reader(self, key):
+        """Return whether a key counted otherwise moments ago.
+
+        A table that other processes may still use then allows the key what
+        the one in force does not, such as the submissions of another
+        organisation.
+        """
+        now = self._clock.now()
+        current = ('', self.name_reader(key))
+        for table, until in self._replaced:
+            reader = name_reader(table, key, Standing(True))
+            if now < until and reader not in current:
+                return True
+        return False
+
     async def authorize_call(self, facts):
         """Decide on a call whose body has been read.
 
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -423,6 +423,11 @@
                 status, headers, body = await self._serve_batch(
                     call, access.organisation
                 )
+        elif status == 404 and self._authorizer.has_other_reader(call.key):
+            status = 503
+            headers = self._dialect.build_retry_headers(
+                NOT_READY_RETRY_AFTER_S
+            )
         self.metrics.count(
             'submissions_total', verb=call.verb.value, status=status
         )
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -331,6 +331,16 @@
         await access.deployment.read_all(access.gateway, 's1', 4, 'later')
         assert set(access.list_names()) == {'north'}
 
+    async def test_key_that_changes_its_organisation_gets_no_404_at_first(
+        self, access
+    ):
+        # Another gateway may still accept the key for the submission.
+        await self.submit(access, 's1', NORTH)
+        await access.change([{'name': 'south', 'apiKeys': [NORTH]}])
+        assert await access.call('/api/lots/s1', NORTH, method='GET') == 503
+        access.forget_refusals()
+        assert await access.call('/api/lots/s1', NORTH, method='GET') == 404
+
     async def test_id_belongs_to_the_first_organisation(self, access):
         assert await self.submit(access, 's1', NORTH) == 202
         record = access.store.get_spec('submissions', 's1')
