Do not count missing routes as refused keys

Cause: access_refusals_total also counted 503 for a request without a route while the table was not current, on deployments without organisations too. Change: refusals for a missing route are told apart by their reason.

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -19,6 +19,8 @@
 from clementineline import errors
 
 __all__ = [
+    'NO_ROUTE',
+    'UNAUTHORISED',
     'Access',
     'Authorizer',
     'Standing',
@@ -33,6 +35,7 @@
 UNAUTHORISED = 401
 UNAVAILABLE = 503
 NOT_FOUND = 404
+NO_ROUTE = 'no route'
 # Retry-After of requests that are refused for the time being.
 RETRY_AFTER_S = 0.2
 # Time between two reads of the table for unknown keys, as a share of the time
@@ -103,7 +106,7 @@
     route = table.match(facts.host, facts.path)
     if route is None:
         status = NOT_FOUND if standing.current else UNAVAILABLE
-        return Access(status, 'no route')
+        return Access(status, NO_ROUTE)
     if route.public:
         # It needs no key, so a key that cannot be confirmed does no harm.
         standing = dataclasses.replace(standing, confirmed=True)
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -90,6 +90,9 @@
             table, build_facts(key, path), standing
         )
         assert (access.status, access.organisation) == expected
+        # The metric of refused keys would count missing routes.
+        no_route = access.reason == authorization.NO_ROUTE
+        assert no_route == (path == '/none')
 
     def test_nothing_is_checked_unless_in_force(self):
         # Deployments without organisations would refuse their callers.
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -207,7 +207,7 @@
 
     def _count_refusal(self, access):
         # A missing route is refused whatever the key is.
-        if access.status != 404:
+        if access.reason != authorization.NO_ROUTE:
             self.metrics.count('access_refusals_total', status=access.status)
 
     def _refuse(
