Count the requests of each organisation by windows of Unix time

Cause: the platform asks for the requests that each organisation began at endpoints, and no process counted them. Statements hold whole counts, so that they may be lost, repeated or overtaken. Nothing uses them yet.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -5,6 +5,7 @@
 import random
 
 from clementineline.coordination import ratelimits
+from clementineline.coordination import usage
 from clementineline import errors
 from clementineline.protocol import verdicts
 
@@ -156,6 +157,9 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar on_attempt_began: called once for each attempt that an endpoint
+        began, with the call's organisation and the Unix time at which it was
+        sent, in seconds; None for no calls
     """
 
     __slots__ = (
@@ -165,6 +169,7 @@
         '_log',
         '_pool',
         '_zone',
+        'on_attempt_began',
     )
 
     def __init__(self, directory, pool, dialect, zone, crash_record, log):
@@ -174,6 +179,7 @@
         self._dialect = dialect
         self._zone = zone
         self._log = log
+        self.on_attempt_began = None
 
     async def forward(
         self,
@@ -295,8 +301,11 @@
         state.in_flight += 1
         verdict = None
         sent = True
+        notice = usage.BeginningNotice(
+            self.on_attempt_began, attempts.organisation
+        )
         try:
-            verdict = await self._exchange(attempts, state)
+            verdict = await self._exchange(attempts, state, notice)
         except errors.LimitReached as error:
             sent = False
             attempts.tried.remove(state.id)
@@ -304,6 +313,7 @@
             verdict = verdicts.NotRun(str(error), error.retry_after_s)
         finally:
             state.in_flight -= 1
+            notice.end(verdict)
             self._log.info(
                 'attempt',
                 request=attempts.request_id,
@@ -328,7 +338,7 @@
             state.record_failure(loop.time())
         return verdict
 
-    async def _exchange(self, attempts, state):
+    async def _exchange(self, attempts, state, notice):
         loop = asyncio.get_running_loop()
         wait_s = attempts.route.aim_s * PERMIT_WAIT_SHARE
         try:
@@ -347,6 +357,7 @@
                 organisation=attempts.organisation,
             )
             client.send_request(head, attempts.body)
+            notice.note_sent(usage.UNANSWERED_COUNT_S)
             reply = await client.receive_head()
             body = await client.receive_body(RESPONSE_MAX_BYTES)
             complete = True
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -11,6 +11,7 @@
 
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
+from clementineline.coordination import usage
 from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.transport import events
@@ -74,6 +75,9 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar on_attempt_began: called once for each attempt that an endpoint
+        began, with the stream's organisation and the Unix time of the first
+        event, in seconds; None for no calls
     """
 
     __slots__ = (
@@ -83,6 +87,7 @@
         '_log',
         '_pool',
         '_zone',
+        'on_attempt_began',
     )
 
     def __init__(self, directory, pool, dialect, zone, crash_record, log):
@@ -92,6 +97,7 @@
         self._log = log
         self._pool = pool
         self._zone = zone
+        self.on_attempt_began = None
 
     async def forward(
         self, route, incoming, facts, deadline, organisation=None
@@ -155,10 +161,13 @@
         state.in_flight += 1
         verdict = None
         sent = True
+        notice = usage.BeginningNotice(
+            self.on_attempt_began, stream.organisation
+        )
         try:
             async with asyncio.timeout_at(deadline):
                 verdict = await self._exchange(
-                    route, state, stream, incoming, deadline
+                    route, state, stream, incoming, deadline, notice
                 )
         except errors.LimitReached as error:
             sent = False
@@ -169,6 +178,7 @@
             verdict = verdicts.MayHaveRun('time limit')
         finally:
             state.in_flight -= 1
+            notice.end(verdict)
             self._log.info(
                 'stream attempt',
                 request=incoming.request_id,
@@ -192,7 +202,9 @@
             state.record_failure(loop.time())
         return verdict
 
-    async def _exchange(self, route, state, stream, incoming, deadline):
+    async def _exchange(
+        self, route, state, stream, incoming, deadline, notice
+    ):
         loop = asyncio.get_running_loop()
         try:
             client = await self._pool.acquire(
@@ -212,6 +224,7 @@
                 stream.organisation,
             )
             client.send_request(head, incoming.body)
+            notice.note_sent()
             gap_s = DATA_GAP_TIMEOUT_S if route.resumable else None
             async with asyncio.timeout(gap_s):
                 reply = await client.receive_head()
@@ -235,7 +248,7 @@
                     200, http.strip_connection_headers(headers)
                 )
             verdict = await self._relay(
-                stream, incoming, client, gap_s, route.resumable
+                stream, incoming, client, gap_s, route.resumable, notice
             )
             complete = isinstance(verdict, verdicts.Answered)
             return verdict
@@ -270,7 +283,9 @@
             return verdicts.MayHaveRun(f'no stream: status {status}')
         return verdicts.Answered(status, headers, body)
 
-    async def _relay(self, stream, incoming, client, gap_s, consecutive):
+    async def _relay(
+        self, stream, incoming, client, gap_s, consecutive, notice
+    ):
         """Relay complete events; hold back an event until it is complete.
 
         Bytes that are no event end the attempt: they may be another response
@@ -280,6 +295,7 @@
             that complete no event do not count
         :param consecutive: whether each event has the number after that of
             the event before it
+        :param notice: the :class:`~usage.BeginningNotice` of the attempt
         :returns: a verdict
         """
         relayed = 0
@@ -300,6 +316,7 @@
                     if reason:
                         return verdicts.MayHaveRun(reason)
                     relayed += 1
+                    notice.note_first_event()
                 if number is not None:
                     stream.last_event = number
                     event_at = loop.time()
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -4,7 +4,8 @@
 Gateways ask keepers for changes of objects in the platform's store, and the
 leader about submissions. The leader copies the texts of
 unfinished items to other keepers, and a process that cannot reach the
-platform's store asks another process to make its calls.
+platform's store asks another process to make its calls. Gateways tell keepers
+how many requests of each organisation they have sent.
 """
 
 import msgspec
@@ -29,17 +30,22 @@
     'ReadLimits',
     'ReadResults',
     'ReadTexts',
+    'ReadUsage',
     'RelayAnswer',
     'RelayCall',
     'RelayFailed',
     'RequestPermit',
     'StatedLimit',
+    'StatedUsage',
     'SubmissionEnded',
     'TellCrashes',
     'TellLimits',
+    'TellUsage',
     'TextPart',
     'TextsAnswer',
     'UnknownSubmission',
+    'UsageAnswer',
+    'UsageKept',
     'WatchKind',
     'WatchedChanges',
     'WatchedObject',
@@ -309,6 +315,53 @@
     age_s: float
 
 
+class StatedUsage(msgspec.Struct, frozen=True):
+    """Requests that one start of a gateway has sent, by organisation.
+
+    :param member: name of the gateway
+    :param incarnation: number that is higher at each start
+    :param complete_through: last window in which nothing more is counted
+    :param windows: all requests so far, by window and organisation; of the
+        windows that are left out, nothing has changed
+    :param final: whether the gateway stops and counts nothing more
+    :param busy: requests that run now, by service
+    :param time_of_day: Unix time at the gateway, 0 if it is not stated
+    """
+
+    member: str
+    incarnation: int
+    complete_through: int
+    windows: dict[int, dict[str, int]]
+    final: bool = False
+    busy: dict[str, int] = {}
+    time_of_day: float = 0.0
+
+
+class TellUsage(msgspec.Struct, frozen=True, tag='tell_usage'):
+    """Tells a keeper the requests of a gateway."""
+
+    usage: StatedUsage
+
+
+class UsageKept(msgspec.Struct, frozen=True, tag='usage_kept'):
+    """The leader has got the requests of a gateway.
+
+    :param fixed_through: last window whose counts cannot change any more
+    """
+
+    fixed_through: int
+
+
+class ReadUsage(msgspec.Struct, frozen=True, tag='read_usage'):
+    """Asks a process for all requests that it has counted or was told."""
+
+
+class UsageAnswer(msgspec.Struct, frozen=True, tag='usage'):
+    """The requests that a process has counted or was told."""
+
+    usage: list[StatedUsage]
+
+
 Question = (
     ReadResults
     | ReadBody
@@ -322,6 +375,8 @@
     | TellCrashes
     | ReadCrashes
     | WatchKind
+    | TellUsage
+    | ReadUsage
 )
 Answer = (
     NotLeading
@@ -337,4 +392,6 @@
     | CrashesAnswer
     | WatchedChanges
     | NotWatching
+    | UsageKept
+    | UsageAnswer
 )
