Report the usage of each organisation to the platform

Cause: the platform's API expects a report for each window of Unix time from the VM that holds the duty, and nothing was sent. Change: with "cloud" in the settings, gateways state their counts to the leader once a second and when they stop. The leader fixes the counts of a window in the object usage/fixed with a conditional write and sends them in order, under its lease, after the quiet period, below half of the API's rate. A successor sends what is fixed and collects the rest again from the gateways. The quiet period of the duties starts at the acquisition of the lease, which the lease manager records now. A deployment without "cloud" does as before.

--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -291,6 +291,15 @@
             state.says_that_it_leaves for state in self.endpoints.values()
         )
 
+    def count_busy(self):
+        """Return the requests of this process that run now, by service."""
+        busy = {}
+        for state in self.endpoints.values():
+            if state.in_flight:
+                service = state.record.service
+                busy[service] = busy.get(service, 0) + state.in_flight
+        return busy
+
     def _drop(self, name):
         state = self.endpoints.pop(name)
         if not state.record.born_ms:
--- a/src/clementineline/coordination/lease.py
+++ b/src/clementineline/coordination/lease.py
@@ -102,6 +102,7 @@
         empty to publish none
     :param read_time_of_day: function that returns the wall-clock time, in
         seconds since the epoch
+    :ivar acquired_at: clock time of the last acquisition, in seconds
     :ivar takeovers: number of times that another process was found to have
         held the lease, or may have
     """
@@ -118,6 +119,7 @@
         '_valid_until',
         '_version',
         '_version_seen_at',
+        'acquired_at',
         'address',
         'fence',
         'holder',
@@ -151,6 +153,7 @@
         self._last_failure_at = None
         self._version_seen_at = None
         self._valid_until = 0.0
+        self.acquired_at = 0.0
         self.fence = 0
         self.known_fence = 0
         self.known_holder = ''
@@ -269,6 +272,7 @@
             # The previous holder may have sent an order just now.
             self.quiet_s = self._settings.quiet_s
         self._version = version
+        self.acquired_at = self._clock.now()
         self.fence = version
         self.known_fence = version
         self.known_holder = self.holder
--- a/src/clementineline/coordination/usage.py
+++ b/src/clementineline/coordination/usage.py
@@ -150,7 +150,6 @@
 
     def list_all(self):
         """Return the counts of all windows that are kept, by window."""
-        self._changed.clear()
         return {
             window: dict(counts) for window, counts in self._counts.items()
         }
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -14,7 +14,10 @@
 from clementineline.coordination import opensubmissions
 from clementineline.coordination import stopping
 from clementineline.coordination import streaming
+from clementineline.coordination import usage
+from clementineline.coordination import usagepush
 from clementineline.daemons import base
+from clementineline.daemons import incarnations
 from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.state import dialect as dialects
@@ -73,6 +76,11 @@
             self._crash_record,
             log,
         )
+        # None if the platform asks for no reports and no orders.
+        self._usage_meter = None
+        self._usage_pusher = None
+        if settings.duties is not None:
+            self._start_metering(settings.duties)
         self._leader_client = leaders.LeaderClient(store, log)
         # Ids of ended submissions, so that a repeated end needs no write.
         self._ended = collections.OrderedDict()
@@ -83,9 +91,30 @@
             self._handle_readiness, http.ServerLimits(), log
         )
 
+    def _start_metering(self, duties):
+        self._usage_meter = usage.UsageMeter(duties.window_s)
+        if duties.usage:
+            self._call_forwarder.on_attempt_began = self._usage_meter.count
+            self._stream_forwarder.on_attempt_began = self._usage_meter.count
+        self._usage_pusher = usagepush.UsagePusher(
+            self._settings.name,
+            incarnations.make_incarnation(),
+            self._usage_meter,
+            self._members,
+            self._directory.count_busy if duties.scaling else dict,
+            self._log,
+        )
+
+    def _collect_metrics(self, process_metrics):
+        super()._collect_metrics(process_metrics)
+        if self._usage_meter is not None:
+            process_metrics.set('usage_counted_late', self._usage_meter.late)
+
     async def start(self):
         """Watch the store and listen for requests and readiness probes."""
         await self._start_base()
+        if self._usage_pusher is not None:
+            self._tasks.supervise(self._usage_pusher.run, 'usage')
         await self._server.start(frames.parse_address(self._settings.http))
         await self._readiness_server.start(
             frames.parse_address(self._settings.ready)
@@ -112,6 +141,8 @@
         left_s = self._stop_schedule.ends_at - loop.time()
         await self._server.drain(max(0.0, left_s))
         self._readiness_server.stop()
+        if self._usage_pusher is not None:
+            await self._usage_pusher.stop()
         await self._tasks.stop()
         self._log.info(
             'gateway stopped',
@@ -428,3 +459,8 @@
             if len(self._ended) > ENDED_SUBMISSIONS_MAX:
                 self._ended.popitem(last=False)
         return 200, (), b''
+
+    async def _answer(self, question):
+        if isinstance(question, questions.ReadUsage) and self._usage_pusher:
+            return self._usage_pusher.answer()
+        return await super()._answer(question)
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -10,6 +10,7 @@
 import random
 
 from clementineline.coordination import departures
+from clementineline.coordination import dutyleader
 from clementineline.coordination import forwarding
 from clementineline.coordination import lease
 from clementineline.coordination import ledger
@@ -84,6 +85,18 @@
         self._departed_remover = departures.DepartedMemberRemover(
             self._members, self._may_lead, self._clock, log
         )
+        # None if the platform asks for no reports and no orders.
+        self._duties = None
+        if settings.duties is not None:
+            self._duties = dutyleader.DutyLeader(
+                settings.name,
+                settings.duties,
+                store,
+                self._members,
+                dialect,
+                self.metrics,
+                log,
+            )
         self._text_log = None
         if settings.data_dir:
             self._text_log = textlog.TextLog(
@@ -157,6 +170,8 @@
             if self._version_updater
             else math.inf
         )
+        if self._duties is not None:
+            order_age_s = min(order_age_s, self._duties.call_age_s)
         runs = self._owner.list_runs() if self._owner else []
         await self._stop_leading('resigned')
         await self._text_replicator.send(runs)
@@ -269,6 +284,11 @@
             ),
             self._tasks.supervise(self._departed_remover.run, 'departures'),
         ]
+        if self._duties is not None:
+            held_s = self._clock.now() - self._lease.acquired_at
+            self._duties.begin(self._term, self._lease.quiet_s - held_s)
+            for run in self._duties.list_tasks():
+                self._leader_tasks.append(self._tasks.supervise(run, 'duties'))
         self._log.info('leading', fence=self._lease.fence)
 
     def _list_assigned(self, service, model):
@@ -298,6 +318,8 @@
         self._limits.on_permit = lambda: None
         for task in self._leader_tasks:
             task.cancel()
+        if self._duties is not None:
+            self._duties.end()
         await owner.stop()
         for state in self._directory.endpoints.values():
             state.loading_models.clear()
@@ -311,6 +333,12 @@
                 # Puts the latest texts of the owned items into the cache.
                 self._owner.keep_texts()
             return self._answer_texts(question)
+        if isinstance(question, questions.TellUsage | questions.ReadUsage):
+            if self._duties is None:
+                return questions.NotLeading(self._lease.known_holder)
+            return self._duties.answer(
+                question, self._may_lead(), self._lease.known_holder
+            )
         owner = self._owner
         if not self._may_answer_from(owner) or not owner.synced:
             return questions.NotLeading(self._lease.known_holder)
--- a/src/clementineline/platform/dialect.py
+++ b/src/clementineline/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from clementineline.platform import batches
 from clementineline.platform import calls
+from clementineline.platform import duties
 from clementineline.platform import endpoints
 from clementineline.platform import manifest
 from clementineline.state import dialect
@@ -39,6 +40,9 @@
     decode_report = staticmethod(endpoints.decode_report)
     build_order_call = staticmethod(endpoints.build_order_call)
     read_order_status = staticmethod(endpoints.read_order_status)
+    build_usage_call = staticmethod(duties.build_usage_call)
+    build_capacity_call = staticmethod(duties.build_capacity_call)
+    read_duty_status = staticmethod(duties.read_duty_status)
     build_retry_headers = staticmethod(calls.build_retry_headers)
 
     @staticmethod
--- a/src/clementineline/platform/manifest.py
+++ b/src/clementineline/platform/manifest.py
@@ -46,11 +46,18 @@
     models: list[_Model] = []
 
 
+class _Scaling(msgspec.Struct):
+    min: int
+    max: int
+    bootS: float = 0.0  # noqa: N815 - name in the wire format
+
+
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     max_conns: int = 0
     health_path: str = ''
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -96,6 +103,14 @@
     )
 
 
+def _decode_scaling(scaling):
+    if scaling is None:
+        return None
+    return routes.ScalingBounds(
+        max(0, scaling.min), max(0, scaling.max), max(0.0, scaling.bootS)
+    )
+
+
 def _decode_service(service):
     engine = service.engine or _Engine()
     return routes.ServiceTarget(
@@ -106,6 +121,7 @@
         engine.kv_capacity,
         engine.stride,
         service.health_path,
+        _decode_scaling(service.scaling),
     )
 
 
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -45,6 +45,10 @@
     drain_ms: float = 2000.0
     # Time without disturbance after which a VM counts as undisturbed.
     stable_window_ms: float = 3000.0
+    # Length of a window of usage.
+    report_window_s: float = msgspec.field(default=5.0, name='reportWindowS')
+    # Time after the end of a window within which it must be reported.
+    usage_late_s: float = msgspec.field(default=10.0, name='usageLateS')
 
 
 class _StoreSettings(msgspec.Struct, rename='camel'):
@@ -52,6 +56,15 @@
     value_bytes: int = 1024 * 1024
 
 
+class _CloudSettings(msgspec.Struct, rename='camel'):
+    # ``HOST:PORT`` of the API for reports of usage and orders of capacity.
+    address: str
+    # Duties that the API accepts: 'usage', 'scale'.
+    duties: list[str] = []
+    # Calls a second that the API accepts from all processes together.
+    duties_per_s: float = msgspec.field(default=50.0, name='dutiesPerS')
+
+
 class _Limits(msgspec.Struct, rename='camel'):
     memory_mb: float = 0.0
 
@@ -68,6 +81,7 @@
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    cloud: _CloudSettings | None = None
 
 
 def _load(path):
@@ -90,6 +104,21 @@
     )
 
 
+def _build_duty_settings(boot):
+    """Return the :class:`~settings.DutySettings`, None if there are none."""
+    cloud = boot.cloud
+    if cloud is None or not cloud.duties:
+        return None
+    return settings.DutySettings(
+        address=cloud.address,
+        usage='usage' in cloud.duties,
+        scaling='scale' in cloud.duties,
+        calls_per_s=cloud.duties_per_s,
+        window_s=boot.bounds.report_window_s,
+        late_s=boot.bounds.usage_late_s,
+    )
+
+
 def _derive_response_bytes(boot):
     """Return the part of the VM's memory that responses may hold."""
     bytes_max = int(boot.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE)
@@ -118,6 +147,7 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        duties=_build_duty_settings(boot),
     )
 
 
@@ -146,4 +176,5 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        duties=_build_duty_settings(boot),
     )
--- a/src/clementineline/platform/tests/conftest.py
+++ b/src/clementineline/platform/tests/conftest.py
@@ -43,6 +43,8 @@
         self.keepers = {}
         self.clients = {}
         self.value_bytes = 1 << 20
+        # DutySettings of processes that are started from now on.
+        self.duties = None
 
     def build_store_client(self, name):
         client = objects.ObjectStore(
@@ -68,6 +70,7 @@
             store=self.store.address,
             grace_s=4.2,
             value_bytes=self.value_bytes,
+            duties=self.duties,
         )
         store = self.build_store_client(name)
         gateway = gateways.Gateway(
@@ -87,6 +90,7 @@
             lease=FAST_LEASE,
             data_dir=str(data_dir),
             value_bytes=self.value_bytes,
+            duties=self.duties,
         )
         store = self.build_store_client(name)
         keeper = keepers.Keeper(loaded, store, dialect.WireDialect(), self.log)
--- a/src/clementineline/platform/tests/test_boundary.py
+++ b/src/clementineline/platform/tests/test_boundary.py
@@ -7,7 +7,9 @@
 # Names that only the platform's wire format uses. Words that other code may
 # use as well are left out.
 WIRE_NAMES = (
+    'Duty-Holder',
     'Expect-Instance',
+    'Fencing-Token',
     'Kv-Backup',
     'Kv-From',
     'Length-Hint',
@@ -29,6 +31,7 @@
     'api/report',
     'coldLeftMs',
     'currentRev',
+    'dutiesPerS',
     'fencingToken',
     'idleTimeoutMs',
     'kvCapacity',
@@ -39,11 +42,13 @@
     'nodeName',
     'numRunning',
     'pathPrefix',
+    'reportWindowS',
     'resultDueMs',
     'singleVersion',
     'targetLatencyMs',
     'timeoutMs',
     'trafficSplit',
+    'usageLateS',
     'waitMs',
 )
 PATTERN = re.compile('|'.join(map(re.escape, WIRE_NAMES)), re.IGNORECASE)
--- a/src/clementineline/state/dialect.py
+++ b/src/clementineline/state/dialect.py
@@ -19,6 +19,8 @@
     'BatchVerb',
     'CallFacts',
     'Dialect',
+    'DutyOutcome',
+    'DutyToken',
     'EngineOrder',
     'OrderOutcome',
     'ReplyFacts',
@@ -49,6 +51,31 @@
     REFUSED = 'refused'
 
 
+class DutyOutcome(enum.Enum):
+    """How the platform's API responded to a report or an order.
+
+    ``FENCED`` means that the fencing token is outdated.
+    """
+
+    ACCEPTED = 'accepted'
+    LIMITED = 'limited'
+    FENCED = 'fenced'
+    REFUSED = 'refused'
+    UNANSWERED = 'unanswered'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyToken:
+    """Who sends a report or an order.
+
+    :param holder: lease holder that sends it
+    :param fence: fencing token of the lease
+    """
+
+    holder: str
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallFacts:
     """Metadata of a caller's request.
@@ -220,6 +247,12 @@
 
     def read_order_status(self, status: int) -> OrderOutcome: ...
 
+    def build_usage_call(self, token, window, counts) -> tuple: ...
+
+    def build_capacity_call(self, token, service, zone, desired) -> tuple: ...
+
+    def read_duty_status(self, status: int) -> DutyOutcome: ...
+
     def build_retry_headers(self, retry_after_s: float) -> tuple: ...
 
     def encode_retirement(self, completed: bool) -> dict: ...
--- a/src/clementineline/state/routes.py
+++ b/src/clementineline/state/routes.py
@@ -8,6 +8,7 @@
 __all__ = [
     'Route',
     'RouteTable',
+    'ScalingBounds',
     'ServiceTarget',
     'Target',
     'TrafficLimits',
@@ -61,6 +62,19 @@
     single_version: bool = False
 
 
+class ScalingBounds(msgspec.Struct, frozen=True):
+    """Bounds on the number of a service's endpoints in each zone.
+
+    :param fewest: smallest number
+    :param most: largest number
+    :param boot_s: time from an order until the endpoint serves, in seconds
+    """
+
+    fewest: int
+    most: int
+    boot_s: float
+
+
 class ServiceTarget(msgspec.Struct, frozen=True):
     """A service of the route table.
 
@@ -71,6 +85,8 @@
         unknown
     :param event_tokens: number of tokens in one event of a stream
     :param health_path: path of an endpoint's health check
+    :param scaling: the :class:`ScalingBounds`; None if its endpoints are not
+        ordered
     """
 
     name: str
@@ -80,6 +96,7 @@
     memory_tokens: int = 0
     event_tokens: int = 1
     health_path: str = ''
+    scaling: ScalingBounds | None = None
 
 
 class TrafficLimits(msgspec.Struct, frozen=True):
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -14,6 +14,7 @@
 from clementineline.transport import frames
 
 __all__ = [
+    'DutySettings',
     'EntrySettings',
     'GatewaySettings',
     'KeeperSettings',
@@ -235,6 +236,26 @@
     disturbed_s: PositiveFloat = 3.0
 
 
+class DutySettings(_Settings):
+    """Duties towards the platform that one process fulfils at a time.
+
+    :param address: ``HOST:PORT`` of the platform's API for them
+    :param usage: whether the requests of each organisation are reported
+    :param scaling: whether the number of endpoints is ordered
+    :param calls_per_s: calls a second that the API accepts from all processes
+    :param window_s: length of the windows that are reported
+    :param late_s: time after the end of a window within which it must be
+        reported
+    """
+
+    address: str
+    usage: bool = False
+    scaling: bool = False
+    calls_per_s: PositiveFloat = 50.0
+    window_s: PositiveFloat = 5.0
+    late_s: PositiveFloat = 10.0
+
+
 class GatewaySettings(_Settings):
     """Settings of a gateway.
 
@@ -251,6 +272,7 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param duties: duties towards the platform, None for none
     """
 
     name: Name
@@ -264,6 +286,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    duties: DutySettings | None = None
 
 
 class KeeperSettings(_Settings):
@@ -282,6 +305,7 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param duties: duties towards the platform, None for none
     """
 
     name: Name
@@ -295,6 +319,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    duties: DutySettings | None = None
 
 
 def _check_addresses(value, where):
