Order the number of endpoints of services that the manifest scales

Cause: the platform boots and ends endpoints by orders of the VM that holds the duty, and nothing was ordered. Change: for services whose manifest entry has "scaling", the leader decides once a second how many endpoints each zone needs, from the requests that run for gateways (stated with the usage), its own, and the items that wait. Without "scaling" nothing is decided. The tests of two leaders and of clocks are sharper: the frozen leader has unsent windows, both gateways are off.

--- a/src/clementineline/coordination/dutyleader.py
+++ b/src/clementineline/coordination/dutyleader.py
@@ -3,6 +3,7 @@
 import math
 import time
 
+from clementineline.coordination import capacityorders
 from clementineline.coordination import duties
 from clementineline.coordination import usage
 from clementineline.coordination import usagereports
@@ -17,12 +18,13 @@
 
 
 class DutyLeader:
-    """Reports usage while the process leads, and holds counts at all times.
+    """Fulfils the duties in the terms, and holds counts at all times.
 
-    :param name: name of this VM, as lease holder
-    :param settings: the :class:`~settings.DutySettings`
+    :param settings: a :class:`~settings.KeeperSettings` with duties
     :param store: the client of the platform's store
     :param members: the :class:`~members.MemberRegistry`
+    :param directory: the :class:`~directory.Directory`
+    :param get_routes: function that returns the route table in force
     :param dialect: the platform's dialect
     :param metrics: the process's metrics, which count calls and windows
     :param log: logger
@@ -32,44 +34,64 @@
         '_clock_logged_at',
         '_collector',
         '_dialect',
+        '_directory',
+        '_get_routes',
         '_log',
         '_members',
         '_metrics',
         '_name',
+        '_orderer',
         '_reporter',
         '_sender',
         '_settings',
         '_spacer',
         '_store',
+        '_zone',
     )
 
-    def __init__(self, name, settings, store, members, dialect, metrics, log):
+    def __init__(
+        self,
+        settings,
+        store,
+        members,
+        directory,
+        get_routes,
+        dialect,
+        metrics,
+        log,
+    ):
+        self._settings = settings.duties
         self._clock_logged_at = {}
-        self._collector = usage.UsageCollector(settings.window_s)
+        self._collector = usage.UsageCollector(self._settings.window_s)
         self._dialect = dialect
+        self._directory = directory
+        self._get_routes = get_routes
         self._log = log
         self._members = members
         self._metrics = metrics
-        self._name = name
-        # Both are None while another process leads.
+        self._name = settings.name
+        # These are None while another process leads.
+        self._orderer = None
         self._reporter = None
         self._sender = None
-        self._settings = settings
         self._spacer = duties.CallSpacer(
-            settings.calls_per_s * duties.RATE_SHARE
+            self._settings.calls_per_s * duties.RATE_SHARE
         )
         self._store = store
+        self._zone = settings.zone
 
     @property
     def call_age_s(self):
         """Time since the last call of this term, in seconds."""
         return self._sender.call_age_s if self._sender else math.inf
 
-    def begin(self, term, quiet_s):
+    def begin(self, term, quiet_s, measure_demand):
         """Begin a term; :meth:`list_tasks` has what must run in it.
 
         :param term: the :class:`~lease.Term`
         :param quiet_s: time before the first call, in seconds
+        :param measure_demand: function from a model to the
+            :class:`~placement.ModelDemand` of open submissions
         """
         self._sender = duties.DutySender(
             self._name,
@@ -93,16 +115,38 @@
                 self._log,
             )
             self._reporter.on_window = self._count_windows
+        if self._settings.scaling:
+            self._orderer = capacityorders.CapacityOrderer(
+                self._zone,
+                self._directory,
+                self._members,
+                self._get_routes,
+                self._collector.sum_busy,
+                measure_demand,
+                term,
+                self._sender,
+                self._dialect,
+                self._log,
+            )
+            self._orderer.on_desired = self._set_desired
 
     def list_tasks(self):
         """Return the coroutine functions that run during the term."""
         tasks = []
         if self._reporter is not None:
             tasks += [self._reporter.run, self._reporter.run_sends]
+        if self._orderer is not None:
+            tasks.append(self._orderer.run)
         return tasks
 
+    def note_run(self, took_s):
+        """Note the duration of an item's run, in seconds."""
+        if self._orderer is not None:
+            self._orderer.note_run(took_s)
+
     def end(self):
         """End the term."""
+        self._orderer = None
         self._reporter = None
         self._sender = None
 
@@ -114,6 +158,11 @@
     def _count_windows(self, outcome, count):
         self._metrics.count('usage_windows_total', count, outcome=outcome)
 
+    def _set_desired(self, service, zone, desired):
+        self._metrics.set(
+            'desired_endpoints', desired, service=service, zone=zone
+        )
+
     def answer(self, question, leads, leader):
         """Answer a question about usage.
 
--- /dev/null
+++ b/src/clementineline/coordination/tests/test_duties.py
@@ -0,0 +1,71 @@
+"""When the leader may call the platform's API, without a network."""
+
+import asyncio
+import types
+
+import pytest
+
+from clementineline.coordination import duties
+from clementineline.state import settings
+
+
+class Term:
+    def __init__(self):
+        self.fence = 7
+
+    def holds(self):
+        return self.fence > 0
+
+
+@pytest.fixture
+def term():
+    return Term()
+
+
+@pytest.fixture
+async def sender(term, log, monkeypatch):
+    monkeypatch.setattr(duties, 'CALL_TIMEOUT_S', 0.02)
+    monkeypatch.setattr(duties, 'UNANSWERED_CALL_S', 0.1)
+    return duties.DutySender(
+        'keeper-1',
+        term,
+        0.05,
+        settings.DutySettings(address='127.0.0.1:1'),
+        duties.CallSpacer(100.0),
+        types.SimpleNamespace(),
+        log,
+    )
+
+
+class TestDutySender:
+    async def test_no_call_in_the_quiet_period_or_without_the_lease(
+        self, sender, term
+    ):
+        # Calls of the previous holder may still arrive after the first one.
+        assert not sender.may_call()
+        await asyncio.sleep(0.06)
+        assert sender.may_call()
+        term.fence = 0
+        assert not sender.may_call()
+
+    async def test_higher_token_waits_for_a_call_without_an_answer(
+        self, sender, term
+    ):
+        # A call that arrives late has a lower token than the one after it.
+        await asyncio.sleep(0.06)
+        sender._last_fence = term.fence
+        sender._unanswered_at = asyncio.get_running_loop().time()
+        assert sender.may_call()
+        term.fence += 1
+        assert not sender.may_call()
+        await asyncio.sleep(0.11)
+        assert sender.may_call()
+
+
+class TestCallSpacer:
+    def test_calls_stay_below_the_rate(self):
+        # Two leaders in a row share the rate that the API accepts.
+        spacer = duties.CallSpacer(50.0 * duties.RATE_SHARE)
+        times = [spacer.reserve(10.0) for _ in range(100)]
+        assert sum(at < 1.0 for at in times) < 25
+        assert spacer.reserve(100.0) == 0.0
--- a/src/clementineline/coordination/usage.py
+++ b/src/clementineline/coordination/usage.py
@@ -173,9 +173,16 @@
 class _Statement:
     """What an incarnation of a gateway has stated."""
 
-    __slots__ = ('complete_through', 'final', 'heard_at', 'windows')
+    __slots__ = (
+        'busy',
+        'complete_through',
+        'final',
+        'heard_at',
+        'windows',
+    )
 
     def __init__(self):
+        self.busy = {}
         self.complete_through = -1
         self.final = False
         self.heard_at = 0.0
@@ -215,6 +222,7 @@
         )
         if not relayed:
             known.heard_at = self._read_time_of_day()
+            known.busy = stated.busy
         for window, counts in stated.windows.items():
             merged = known.windows.setdefault(window, {})
             for name, count in counts.items():
@@ -251,6 +259,17 @@
                 total[name] = total.get(name, 0) + count
         return total
 
+    def sum_busy(self):
+        """Return the requests that run for all gateways, by service."""
+        heard_after = self._read_time_of_day() - SILENT_MEMBER_S
+        total = {}
+        for known in self._statements.values():
+            if known.final or known.heard_at < heard_after:
+                continue
+            for service, count in known.busy.items():
+                total[service] = total.get(service, 0) + count
+        return total
+
     def get_oldest_window(self):
         """Return the oldest window with a request, None if there is none."""
         windows = set()
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -89,10 +89,11 @@
         self._duties = None
         if settings.duties is not None:
             self._duties = dutyleader.DutyLeader(
-                settings.name,
-                settings.duties,
+                settings,
                 store,
                 self._members,
+                self._directory,
+                lambda: self._routes.table,
                 dialect,
                 self.metrics,
                 log,
@@ -286,7 +287,11 @@
         ]
         if self._duties is not None:
             held_s = self._clock.now() - self._lease.acquired_at
-            self._duties.begin(self._term, self._lease.quiet_s - held_s)
+            self._duties.begin(
+                self._term,
+                self._lease.quiet_s - held_s,
+                owner.measure_demand,
+            )
             for run in self._duties.list_tasks():
                 self._leader_tasks.append(self._tasks.supervise(run, 'duties'))
         self._log.info('leading', fence=self._lease.fence)
@@ -299,6 +304,8 @@
     def _count_run(self, end, took_s):
         self.metrics.count('item_runs_total', end=end)
         self.metrics.observe('item_run_seconds', took_s)
+        if self._duties is not None:
+            self._duties.note_run(took_s)
 
     def _count_recorded(self, count):
         self.metrics.count('results_recorded_total', count)
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -42,6 +42,7 @@
     'reward_calls_total': 'Reward calls of items, by verdict.',
     'results_recorded_total': 'Results that got their positions.',
     'orders_total': 'Orders sent to engines, by outcome.',
+    'desired_endpoints': 'Endpoints that the leader wants, while it leads.',
     'duty_calls_total': 'Calls to the API for duties, by duty and outcome.',
     'usage_windows_total': 'Windows of usage, by what became of them.',
     'usage_counted_late': 'Requests that began in a window already fixed.',
--- a/src/clementineline/platform/tests/test_usage.py
+++ b/src/clementineline/platform/tests/test_usage.py
@@ -15,6 +15,7 @@
 from clementineline.coordination import usage
 from clementineline.coordination import usagepush
 from clementineline.coordination import usagereports
+from clementineline import errors
 from clementineline.platform.tests import dutyapi
 from clementineline.state import settings
 
@@ -261,23 +262,23 @@
     async def test_clock_of_a_gateway_is_a_second_off(
         self, metered, api, wait_until
     ):
-        # Requests must not be counted twice or lost between two clocks.
-        total = 0
-        shifted = metered.gateways['gateway-1']._usage_meter
-        for shift_s in (1.0, -1.0):
-            shifted._read_time_of_day = functools.partial(
+        # A window that is fixed by the leader's clock lacks the last requests
+        # of a gateway whose clock is behind.
+        truth = collections.Counter()
+        for name, shift_s in (('gateway-1', 1.0), ('gateway-2', -1.0)):
+            meter = metered.gateways[name]._usage_meter
+            meter._read_time_of_day = functools.partial(
                 read_shifted_time, shift_s
             )
-            for _ in range(100):
-                for gateway in metered.gateways.values():
-                    meter = gateway._usage_meter
-                    meter.count('north', meter._read_time_of_day())
-                    total += 1
-                await asyncio.sleep(0.01)
-        total -= shifted.late
-        last = int((time.time() + 1.0) // WINDOW_S)
-        await wait_until(lambda: last in api.reports)
-        assert api.sum_reports() == {'north': total}
+        for _ in range(100):
+            for gateway in metered.gateways.values():
+                now = gateway._usage_meter._read_time_of_day()
+                gateway._usage_meter.count('north', now)
+                truth[int(now // WINDOW_S)] += 1
+            await asyncio.sleep(0.01)
+        await wait_until(lambda: max(truth) in api.reports)
+        for window, count in truth.items():
+            assert api.reports[window] == {'north': count}
         assert api.list_gaps() == []
 
     async def test_api_down_for_several_windows(
@@ -315,8 +316,13 @@
     async def test_two_leaders(
         self, metered, api, traffic, wait_until, monkeypatch
     ):
-        # A leader that was frozen sent what its successor had sent before.
+        # A leader that was frozen with unsent windows sent them with its old
+        # token, after its successor.
         await wait_until(lambda: api.reports)
+        api.down = True
+        reporter = metered.keepers['keeper-1']._duties._reporter
+        sent = reporter._next_sent
+        await wait_until(lambda: reporter.fixed_through > sent + 1)
         manager = metered.keepers['keeper-1']._lease
         awake = asyncio.Event()
         step = type(manager).step
@@ -328,9 +334,54 @@
 
         monkeypatch.setattr(type(manager), 'step', step_when_awake)
         await wait_until(lambda: metered.find_leader() == 'keeper-2')
+        api.down = False
         await wait_until(lambda: api.calls[-1][1] == 'keeper-2')
+        await asyncio.sleep(3 * usagereports.SEND_RETRY_MAX_S)
         awake.set()
         last = await traffic.stop()
         await wait_until(lambda: last in api.reports)
         assert traffic.list_wrong(api) == {}
         assert api.calls[-1][1] == 'keeper-2'
+
+
+class TestFixedUsage:
+    async def test_window_is_never_overwritten(self, client, log):
+        # Two leaders that fix one window with different counts break a rule
+        # as soon as both are sent.
+        first = usagereports.FixedUsage(client, 12, log)
+        second = usagereports.FixedUsage(client, 12, log)
+        await first.read()
+        await second.read()
+        await first.fix({7: {'north': 1}})
+        with pytest.raises(errors.WriteConflict):
+            await second.fix({7: {'north': 2}})
+        assert not second.known
+        await second.read()
+        await second.fix({7: {'north': 2}, 8: {}})
+        await first.read()
+        assert first.windows == {7: {'north': 1}, 8: {}}
+
+    async def test_write_without_an_answer_is_read_again(
+        self, store, client, log
+    ):
+        # Counts that changed after a write which took effect replace nothing.
+        fixed = usagereports.FixedUsage(client, 12, log)
+        await fixed.read()
+        store.hold_writes = 1
+        with pytest.raises(errors.AmbiguousWrite):
+            await fixed.fix({7: {'north': 1}})
+        assert (fixed.known, fixed.windows) == (False, {})
+        await fixed.read()
+        store.apply_held_writes()
+        with pytest.raises(errors.WriteConflict):
+            await fixed.fix({7: {'north': 2}})
+        await fixed.read()
+        assert fixed.windows == {7: {'north': 1}}
+
+    async def test_object_of_another_writer(self, store, client, log):
+        # An object that cannot be read would stop all reports.
+        windows = {'7': {'north': 1}, 'x': {}, '8': [], '9': {'n': ''}}
+        store.put('usage', 'fixed', {'windows': windows})
+        fixed = usagereports.FixedUsage(client, 12, log)
+        await fixed.read()
+        assert fixed.windows == {7: {'north': 1}}
