Test the dead band and the trend of capacity at their thresholds

Cause: a copy of the planner without its dead band, and one without the trend, passed test_capacity. Change: the loads of both tests lie at the thresholds that they are about.

--- a/src/clementineline/coordination/tests/test_capacity.py
+++ b/src/clementineline/coordination/tests/test_capacity.py
@@ -46,12 +46,15 @@
         desired = service.run(1, 12, waiting=60)
         assert desired == {'a': 6, 'b': 6, 'c': 6}
 
-    def test_trend_is_followed_before_the_slots_are_full(self, service):
+    def test_trend_is_followed_before_the_slots_are_full(self):
         # Endpoints that are ordered when slots are full come bootS too late.
-        for step in range(30):
-            service.run(1, 4 + step)
-        needed_later = (33 + BOUNDS.boot_s) / 4 / capacity.GROW_SHARE / 3
-        assert service.history[-1]['a'] >= needed_later
+        service = Service(routes.ScalingBounds(1, 40, 10.0), 'a', 8)
+        for busy in range(20, 51):
+            service.run(1, busy)
+        # At least half of the growth during the next bootS.
+        slots = 50 + 0.5 * 10
+        needed = slots / 4 / capacity.GROW_SHARE
+        assert service.history[-1]['a'] >= needed
 
     def test_no_endpoint_at_all(self):
         # A service without endpoints must get the smallest number.
@@ -70,14 +73,19 @@
         assert numbers[29] == before
         assert before - 2 <= numbers[-1] < before
 
-    def test_load_within_the_dead_band_changes_nothing(self, service):
+    @pytest.mark.parametrize(
+        ('zones', 'low', 'high'), [('a', 15, 17), ('ab', 11, 12)]
+    )
+    def test_load_within_the_dead_band_changes_nothing(self, zones, low, high):
         # Numbers that follow each change of the load boot endpoints for ever.
-        service.run(60, 16)
+        # One endpoint less is enough for the lower load.
+        service = Service(zones=zones)
+        service.run(80, high)
         settled = service.history[-1]
         service.history.clear()
-        for _ in range(20):
-            service.run(10, 15)
-            service.run(10, 17)
+        for _ in range(4):
+            service.run(80, low)
+            service.run(80, high)
         assert all(desired == settled for desired in service.history)
 
 
