--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -49,6 +49,10 @@
     report_window_s: float = msgspec.field(default=5.0, name='reportWindowS')
     # Time after the end of a window within which it must be reported.
     usage_late_s: float = msgspec.field(default=10.0, name='usageLateS')
+    # Whether requests that need a key are refused while the last evidence that
+    # the manifest is current is older than the time below.
+    fail_closed: bool = False
+    revoke_ms: float = 5000.0
 
 
 class _StoreSettings(msgspec.Struct, rename='camel'):
@@ -148,6 +152,10 @@
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
         duties=_build_duty_settings(boot),
+        access=settings.AccessSettings(
+            fail_closed=boot.bounds.fail_closed,
+            revoke_s=boot.bounds.revoke_ms / 1000,
+        ),
     )
 
 
--- a/src/clementineline/platform/tests/test_boundary.py
+++ b/src/clementineline/platform/tests/test_boundary.py
@@ -7,6 +7,7 @@
 # Names that only the platform's wire format uses. Words that other code may
 # use as well are left out.
 WIRE_NAMES = (
+    'Api-Key',
     'Duty-Holder',
     'Expect-Instance',
     'Fencing-Token',
@@ -29,9 +30,11 @@
     'api/order',
     'api/ready',
     'api/report',
+    'apiKeys',
     'coldLeftMs',
     'currentRev',
     'dutiesPerS',
+    'failClosed',
     'fencingToken',
     'idleTimeoutMs',
     'kvCapacity',
@@ -44,6 +47,7 @@
     'pathPrefix',
     'reportWindowS',
     'resultDueMs',
+    'revokeMs',
     'singleVersion',
     'targetLatencyMs',
     'timeoutMs',
--- a/src/clementineline/platform/tests/test_usage.py
+++ b/src/clementineline/platform/tests/test_usage.py
@@ -15,8 +15,10 @@
 from clementineline.coordination import usage
 from clementineline.coordination import usagepush
 from clementineline.coordination import usagereports
+from clementineline.daemons import gateway as gateways
 from clementineline import errors
 from clementineline.platform.tests import dutyapi
+from clementineline.platform.tests import standin
 from clementineline.state import settings
 
 WINDOW_S = 0.3
@@ -112,12 +114,14 @@
     await started.stop()
 
 
+async def never_answer(question):
+    """Leave a question without an answer."""
+    await asyncio.sleep(60)
+
+
 async def kill(process):
     """End a process without a word to others."""
 
-    async def never_answer(question):
-        await asyncio.sleep(60)
-
     process._answer = never_answer
     process._stopping = True
     await process._tasks.stop()
@@ -154,16 +158,11 @@
     ):
         # Refusals are free, and an attempt after a failure costs again.
         gateway = metered.gateways['gateway-1']
-        forwarder = gateway._call_forwarder
-        gateway._call_forwarder = type(
-            'Named',
-            (),
-            {
-                'forward': functools.partial(
-                    forwarder.forward, organisation='north'
-                )
-            },
+        manifest = standin.build_manifest(
+            2, tenants=[{'name': 'north', 'apiKeys': ['n1']}]
         )
+        metered.store.put('config', 'main', manifest)
+        await wait_until(lambda: gateway._routes.table.version == 2)
         await wait_until(lambda: gateway.is_ready)
         server = metered.servers['i-desk']
         for number, shed in enumerate((False, True, False)):
@@ -172,7 +171,7 @@
                 gateway,
                 'POST',
                 '/live/a',
-                ((b'Request-Id', b'r%d' % number),),
+                ((b'Request-Id', b'r%d' % number), (b'Api-Key', b'n1')),
             )
             assert status == (503 if shed else 200)
         await wait_until(lambda: api.sum_reports() == {'north': 2})
@@ -184,10 +183,12 @@
     ):
         # The requests of its last second were lost with each planned stop.
         gateway = metered.gateways['gateway-1']
+        monkeypatch.setattr(gateways, 'ROTATION_EXIT_S', 0.3)
         stopping = asyncio.create_task(gateway.stop())
         await asyncio.sleep(0.1)
-        # The last second, in which nothing is pushed.
+        # The last second, in which nothing is pushed or asked for.
         monkeypatch.setattr(usagepush.UsagePusher, 'push', never_push)
+        gateway._answer = never_answer
         now = time.time()
         gateway._usage_meter.count('north', now)
         window = int(now // WINDOW_S)
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -256,6 +256,18 @@
     late_s: PositiveFloat = 10.0
 
 
+class AccessSettings(_Settings):
+    """What a process does while it cannot confirm its route table.
+
+    :param fail_closed: whether requests that need a key are refused then
+    :param revoke_s: age of the last evidence that the table is current from
+        which it counts as not confirmed
+    """
+
+    fail_closed: bool = False
+    revoke_s: PositiveFloat = 5.0
+
+
 class GatewaySettings(_Settings):
     """Settings of a gateway.
 
@@ -273,6 +285,7 @@
     :param response_bytes: bytes that all responses which are being received
         may hold together
     :param duties: duties towards the platform, None for none
+    :param access: what it does while it cannot confirm its route table
     """
 
     name: Name
@@ -287,6 +300,7 @@
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
     duties: DutySettings | None = None
+    access: AccessSettings = AccessSettings()
 
 
 class KeeperSettings(_Settings):
