Check reports and orders of capacity in the soak

Cause: the faults of the soak reached every promise but those towards the platform's API for duties. Change: the fleet has an organisation, whose key all callers send, and the stand-in of the API.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -67,6 +67,7 @@
     recorder.check_limits()
     recorder.check_departures(fleet.was_disturbed)
     recorder.check_orders(fleet.servers.values())
+    recorder.check_duties(fleet.duty_api)
     return recorder, injector, trainer
 
 
--- a/src/clementineline/platform/tests/soak/checks.py
+++ b/src/clementineline/platform/tests/soak/checks.py
@@ -150,6 +150,18 @@
                         'that it leaves',
                     )
 
+    def check_duties(self, api):
+        """Check the rules of the platform's API for reports and orders.
+
+        :param api: the :class:`~dutyapi.DutyApiStandIn`
+        """
+        for text in api.violations:
+            self.report('duties', text)
+        for window in api.list_gaps():
+            self.report('duties', f'window {window} was not reported')
+        if not api.sum_reports():
+            self.report('duties', 'no request was reported')
+
     def check_orders(self, servers):
         """Check that no order of an earlier leader follows a later one's."""
         for server in servers:
--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -10,13 +10,16 @@
 
 from clementineline.experiments import processes
 from clementineline.experiments import relay
+from clementineline.platform.tests import dutyapi
 from clementineline.platform.tests import standin
 from clementineline.transport import frames
 
-__all__ = ['Fleet', 'SoakServer', 'build_routes']
+__all__ = ['KEY', 'Fleet', 'SoakServer', 'build_routes']
 
 PROGRAM = pathlib.Path(__file__).parents[5] / 'deploy' / 'clementineline.py'
 ZONES = ('walvis-a', 'swakop-b', 'langstrand-c')
+# Key of the one organisation.
+KEY = 'soak-key'
 HTTP_PORT = 8161
 READY_PORT = 8167
 PEER_PORT = 7720
@@ -91,6 +94,8 @@
             {**live, 'name': f'r-{number}', 'pathPrefix': f'/v{number}/'}
         )
     manifest['routes'] = routes
+    manifest['tenants'] = [{'name': 'north', 'apiKeys': [KEY]}]
+    manifest['services'][0]['scaling'] = {'min': 1, 'max': 9, 'bootS': 2.0}
     return manifest
 
 
@@ -108,6 +113,7 @@
         self.group = processes.ProcessGroup(folder)
         self.log = log
         self.store = standin.StoreStandIn(log)
+        self.duty_api = dutyapi.DutyApiStandIn(log)
         self.servers = {}
         # Relays before the endpoints, and before the store for each process.
         self.server_relays = {}
@@ -137,6 +143,8 @@
         """Start the stand-ins and all processes, and wait until ready."""
         self._place(self.store)
         await self.store.start()
+        self._place(self.duty_api)
+        await self.duty_api.start()
         self.change_routes()
         for number in range(1, 4):
             await self._start_server(f'i-desk{number}', 'desk', None)
@@ -181,6 +189,10 @@
             'zone': zone,
             'portRange': [PEER_PORT, PEER_PORT + 15],
             'platform': {'address': str(path.address)},
+            'cloud': {
+                'address': self.duty_api.address,
+                'duties': ['usage', 'scale'],
+            },
             'bounds': {'graceS': GRACE_S},
         }
         role = name.partition('-')[0]
@@ -300,5 +312,6 @@
             *self.store_relays.values(),
         ):
             await path.stop()
-        for stand_in in (self.store, *self.servers.values()):
+        stand_ins = [self.store, self.duty_api, *self.servers.values()]
+        for stand_in in stand_ins:
             await stand_in.stop()
--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -4,6 +4,7 @@
 import itertools
 
 from clementineline import errors
+from clementineline.platform.tests.soak import fleet as fleets
 from clementineline.transport import http
 from clementineline.transport import outgoing
 
@@ -17,6 +18,7 @@
 ]
 
 HOST = b'shop.example'
+KEY = (b'Api-Key', fleets.KEY.encode())
 CALL_TIMEOUT_S = 4.0
 CALL_INTERVAL_S = 0.04
 KEPT_CALL_INTERVAL_S = 0.05
@@ -45,7 +47,7 @@
         :raises TimeoutError: if there is none in time
         """
         name = name or self._rng.choice(self._fleet.gateways)
-        headers = [(b'Host', HOST)]
+        headers = [(b'Host', HOST), KEY]
         if request_id:
             headers.append((b'Request-Id', request_id.encode()))
         head = http.Head(method, path.encode(), tuple(headers))
@@ -150,7 +152,11 @@
         :returns: the connection if it can be used again, else None
         """
         request_id = f'kept-{next(self._numbers)}'
-        headers = ((b'Host', HOST), (b'Request-Id', request_id.encode()))
+        headers = (
+            (b'Host', HOST),
+            KEY,
+            (b'Request-Id', request_id.encode()),
+        )
         head = http.Head(b'POST', b'/live/a', headers)
         loop = asyncio.get_running_loop()
         started = loop.time()
