--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -4,6 +4,7 @@
 
 from clementineline import errors
 from clementineline.state import settings
+from clementineline.transport import frames
 
 __all__ = ['BOOT_VARIABLE', 'load_gateway_settings', 'load_keeper_settings']
 
@@ -113,6 +114,7 @@
     cloud = boot.cloud
     if cloud is None or not cloud.duties:
         return None
+    frames.parse_address(cloud.address)
     return settings.DutySettings(
         address=cloud.address,
         usage='usage' in cloud.duties,
