Count windows without a report once

Cause: after an outage of more than 3 x usageLateS, each read of usage/fixed before the next successful write logged and counted the abandoned windows again. Change: windows before the next one to fix are not abandoned twice. Measured: TestAbandonedWindows fails before (3285 windows counted twice) and passes now; the other 14 of platform/tests/test_usage.py pass.

--- a/src/clementineline/coordination/usagereports.py
+++ b/src/clementineline/coordination/usagereports.py
@@ -256,7 +256,7 @@
             ABANDON_FACTOR * self._settings.late_s
         )
         if self._fixed.windows:
-            following = self._fixed.through + 1
+            following = max(self._fixed.through + 1, self._next_fixed or 0)
             if following < oldest:
                 self._abandon(following, oldest - 1)
             self._next_fixed = max(following, oldest)
--- a/src/clementineline/platform/tests/test_usage.py
+++ b/src/clementineline/platform/tests/test_usage.py
@@ -384,3 +384,30 @@
         fixed = usagereports.FixedUsage(client, 12)
         await fixed.read()
         assert fixed.windows == {7: {'north': 1}}
+
+
+class TestAbandonedWindows:
+    async def test_windows_of_a_long_outage_are_counted_once(
+        self, store, client, clock, api, deployment, log
+    ):
+        # Each read of the object counted and logged them again.
+        store.put('usage', 'fixed', {'windows': {'7': {}}})
+        reporter = usagereports.UsageReporter(
+            client,
+            usage.UsageCollector(WINDOW_S, clock.now),
+            None,
+            None,
+            None,
+            deployment.duties,
+            None,
+            log,
+            clock.now,
+        )
+        missing = []
+        reporter.on_window = lambda outcome, count: missing.append(count)
+        for _ in range(2):
+            await reporter._fixed.read()
+            reporter._plan()
+        oldest = int((clock.now() - 3 * LATE_S) // WINDOW_S)
+        assert missing == [oldest - 8]
+        assert reporter.fixed_through == oldest - 1
