--- a/src/clementineline/platform/tests/soak/fleet.py
+++ b/src/clementineline/platform/tests/soak/fleet.py
@@ -10,6 +10,7 @@
 
 from clementineline.experiments import processes
 from clementineline.experiments import relay
+from clementineline.platform.tests import dutyapi
 from clementineline.platform.tests import standin
 from clementineline.transport import frames
 
@@ -119,6 +120,7 @@
         }
         for name in ORGANISATIONS
     ]
+    manifest['services'][0]['scaling'] = {'min': 1, 'max': 9, 'bootS': 2.0}
     return manifest
 
 
@@ -136,6 +138,7 @@
         self.group = processes.ProcessGroup(folder)
         self.log = log
         self.store = standin.StoreStandIn(log)
+        self.duty_api = dutyapi.DutyApiStandIn(log)
         self.servers = {}
         # Relays before the endpoints, and before the store for each process.
         self.server_relays = {}
@@ -165,6 +168,8 @@
         """Start the stand-ins and all processes, and wait until ready."""
         self._place(self.store)
         await self.store.start()
+        self._place(self.duty_api)
+        await self.duty_api.start()
         self.change_routes()
         for number in range(1, 4):
             await self._start_server(f'i-desk{number}', 'desk', None)
@@ -209,6 +214,10 @@
             'zone': zone,
             'portRange': [PEER_PORT, PEER_PORT + 15],
             'platform': {'address': str(path.address)},
+            'cloud': {
+                'address': self.duty_api.address,
+                'duties': ['usage', 'scale'],
+            },
             'bounds': {'graceS': GRACE_S},
         }
         role = name.partition('-')[0]
@@ -328,5 +337,6 @@
             *self.store_relays.values(),
         ):
             await path.stop()
-        for stand_in in (self.store, *self.servers.values()):
+        stand_ins = [self.store, self.duty_api, *self.servers.values()]
+        for stand_in in stand_ins:
             await stand_in.stop()
--- a/src/clementineline/platform/tests/test_boundary.py
+++ b/src/clementineline/platform/tests/test_boundary.py
@@ -8,7 +8,9 @@
 # use as well are left out.
 WIRE_NAMES = (
     'Api-Key',
+    'Duty-Holder',
     'Expect-Instance',
+    'Fencing-Token',
     'Kv-Backup',
     'Kv-From',
     'Length-Hint',
@@ -31,6 +33,7 @@
     'apiKeys',
     'coldLeftMs',
     'currentRev',
+    'dutiesPerS',
     'failClosed',
     'fencingToken',
     'idleTimeoutMs',
@@ -42,12 +45,14 @@
     'nodeName',
     'numRunning',
     'pathPrefix',
+    'reportWindowS',
     'resultDueMs',
     'revokeMs',
     'singleVersion',
     'targetLatencyMs',
     'timeoutMs',
     'trafficSplit',
+    'usageLateS',
     'waitMs',
 )
 PATTERN = re.compile('|'.join(map(re.escape, WIRE_NAMES)), re.IGNORECASE)
