Bound the memory and connections that clients can make a process hold

Cause: bodies, frames, pipelined requests, unread responses and decoded submissions had no common limit, and connections none at all, so some untrusted clients ended a gateway with the requests of all others. The metrics page of gateways and keepers answered 502, since three gauges had no entry in metrics.DESCRIPTIONS. Change: transport/buffers.py is one budget of the process, derived from the VM's memory. The largest and slowest unfinished request is ended first, with 503, or 408 if it stalls; what an endpoint or the store may have got is kept. transport/reading.py reads a request within the time in which it can be answered, headers in one time limit, and gives others their turn within a body of many chunks. Bodies are forwarded and sent from the bytes that were read, in pieces. A submission is decoded only if its estimated size fits, and its items are encoded without a second copy. transport/admission.py bounds the connections of each port, with a share that no single address can use, and logs refused clients once in ten seconds for each address.

--- a/src/clementineline/coordination/ledger.py
+++ b/src/clementineline/coordination/ledger.py
@@ -116,7 +116,8 @@
             await self._write_parts(submission.id, parts)
             submission = msgspec.structs.replace(submission, items=())
             value['parts'] = len(parts)
-        value['submission'] = msgspec.to_builtins(submission)
+        # Encoded as it is: plain values would need as much memory again.
+        value['submission'] = submission
         try:
             await self._store.write(
                 SUBMISSIONS_KIND, _quote(submission.id), value, 0
@@ -131,7 +132,7 @@
         """
         kind = ITEMS_PREFIX + _quote(submission_id)
         for number, part in enumerate(parts):
-            value = {'items': msgspec.to_builtins(part)}
+            value = {'items': part}
             try:
                 await self._store.write(kind, _format_number(number), value, 0)
             except errors.WriteConflict:
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+import os
 
 from clementineline import clocks
 from clementineline.coordination import connections
@@ -18,6 +19,7 @@
 from clementineline.daemons import tasks
 from clementineline.protocol import asking
 from clementineline.state import questions
+from clementineline.transport import admission
 from clementineline.transport import buffers
 from clementineline.transport import frames
 
@@ -30,7 +32,7 @@
     """Watches the store and answers questions of other processes.
 
     :param settings: settings of the process, with ``name``, ``zone``,
-        ``listen``, ``metrics``, ``response_bytes`` and ``value_bytes``
+        ``listen``, ``metrics``, ``bounds`` and ``value_bytes``
     :param store: the client of the platform's store
     :param dialect: the platform's dialect
     :param log: logger
@@ -90,9 +92,15 @@
             dialect.read_reply,
             log,
         )
+        self._budget = buffers.BufferBudget(settings.bounds.held_bytes)
+        self._refusals = admission.RefusalRecord(log)
+        self._peer_table = self._build_table(settings.bounds.peer_connections)
+        self._probe_table = self._build_table(
+            settings.bounds.probe_connections
+        )
         self._pool = connections.ConnectionPool(
             self._limits,
-            buffers.BufferBudget(settings.response_bytes),
+            self._budget,
             dialect.read_reply,
         )
         self._crash_record = crashes.CrashRecord(
@@ -108,8 +116,13 @@
             {'process': settings.name}, self._collect_metrics
         )
         self._limits.on_request = self._count_endpoint_request
+        self._refusals.on_refusal = self._count_refusal
         self._stopping = False
 
+    def _build_table(self, limit):
+        """Build the :class:`~admission.ConnectionTable` of a port."""
+        return admission.ConnectionTable(limit, self._refusals)
+
     def _build_watcher(self, kind, on_objects, **options):
         """Build an :class:`~objectwatcher.ObjectWatcher` of a kind.
 
@@ -151,10 +164,16 @@
         self._tasks.supervise(self._members.run, 'members')
         self._tasks.start(self._gather_limits(), 'limits')
         self._tasks.start(
-            self.metrics.serve(self._settings.metrics, self._log), 'metrics'
+            self.metrics.serve(
+                self._settings.metrics, self._log, self._probe_table
+            ),
+            'metrics',
         )
         await frames.start_server(
-            frames.parse_address(self._settings.listen), self._serve_peer
+            frames.parse_address(self._settings.listen),
+            self._serve_peer,
+            self._budget,
+            self._peer_table,
         )
 
     def reload(self, settings):
@@ -175,9 +194,9 @@
         process_metrics.set(
             'requests_not_sent_again', self._crash_record.refused
         )
-        budget = self._pool.budget
-        process_metrics.set('response_bytes', budget.used_bytes)
-        process_metrics.set('responses_ended', budget.ended)
+        process_metrics.set('held_bytes', self._budget.used_bytes)
+        process_metrics.set('holds_ended', self._budget.ended)
+        process_metrics.set('descriptors', len(os.listdir('/proc/self/fd')))
         process_metrics.set(
             'endpoints_leaving', self._directory.count_leaving()
         )
@@ -196,6 +215,9 @@
     def _count_endpoint_request(self, purpose):
         self.metrics.count('endpoint_requests_total', purpose=purpose)
 
+    def _count_refusal(self, reason):
+        self.metrics.count('client_refusals_total', reason=reason)
+
     def _apply_endpoints(self, objects, removed, whole):
         recently_unreachable = self._endpoint_watcher.was_unreachable(
             directory.LAPSED_ENTRY_GRACE_S
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -41,6 +41,11 @@
 # Retry-After of requests that failed at the store. The retry reaches another
 # gateway, or the store after a short outage.
 STORE_RETRY_AFTER_S = 0.3
+# Retry-After of requests that the memory has no room for: large bodies are
+# complete, or count as stalled, within a few seconds.
+MEMORY_RETRY_AFTER_S = 1.0
+# Readiness probes are a few hundred bytes.
+PROBE_LIMITS = http.ServerLimits(header_bytes=8192, body_bytes=1024)
 ACCEPT_RETRY_DELAY_S = 0.05
 ACCEPT_TIMEOUT_S = 4.0
 ENDED_SUBMISSIONS_MAX = 2000
@@ -78,9 +83,24 @@
         self._ended = collections.OrderedDict()
         # The StopSchedule of a planned stop, None before it.
         self._stop_schedule = None
-        self._server = http.Server(self._handle, http.ServerLimits(), log)
+        self._server = http.Server(
+            self._handle,
+            http.ServerLimits(),
+            log,
+            self._budget,
+            self._build_table(settings.bounds.caller_connections),
+            self._refusals,
+        )
+        self._server.get_upload_s = self._find_upload_limit
+        self._server.refusal_headers = dialect.build_retry_headers(
+            MEMORY_RETRY_AFTER_S
+        )
         self._readiness_server = http.Server(
-            self._handle_readiness, http.ServerLimits(), log
+            self._handle_readiness,
+            PROBE_LIMITS,
+            log,
+            table=self._build_table(settings.bounds.probe_connections),
+            refusals=self._refusals,
         )
 
     async def start(self):
@@ -141,6 +161,21 @@
             status = 404
         incoming.respond(status, (), b'')
 
+    def _find_upload_limit(self, head):
+        """Return the time in which a body must be complete, in seconds.
+
+        A later request could not be answered before its caller gives up.
+        """
+        facts = self._dialect.read_call(head)
+        table = self._routes.table
+        route = None
+        if table is not None:
+            route = table.match(facts.host, facts.path)
+        limits = [route.timeout_s] if route is not None else []
+        if facts.timeout_s is not None:
+            limits.append(facts.timeout_s)
+        return max(limits, default=http.UPLOAD_S)
+
     async def _handle(self, incoming):
         head = incoming.head
         facts = self._dialect.read_call(head)
@@ -263,6 +298,24 @@
 
         :param routes_version: version of the table that holds the route
         """
+        decoded = self._budget.open(lambda: None)
+        size = self._dialect.estimate_decoded_bytes(incoming.body)
+        if not decoded.add(size):
+            self._count_refusal('memory')
+            self._refuse(
+                incoming, facts, 503, 'memory is short', MEMORY_RETRY_AFTER_S
+            )
+            return
+        # From here on the submission may be in the store.
+        decoded.end = None
+        try:
+            await self._record_submission(
+                incoming, route, facts, routes_version
+            )
+        finally:
+            decoded.release()
+
+    async def _record_submission(self, incoming, route, facts, routes_version):
         service = forwarding.choose_service(route.targets, random.random())
         try:
             submission = self._dialect.decode_submission(
@@ -276,6 +329,7 @@
         except errors.RequestError as error:
             self._refuse(incoming, facts, error.status, str(error))
             return
+        incoming.drop_body()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + ACCEPT_TIMEOUT_S
         ambiguous = False
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -16,6 +16,8 @@
 LOAD_DELAY_S = 3.0
 PENDING_UPDATES_MAX = 20_000
 METRICS_PATH = b'/metrics'
+# Scrapers send a few hundred bytes.
+LIMITS = http.ServerLimits(header_bytes=8192, body_bytes=1024)
 LATENCY_BUCKETS_S = (
     0.01,
     0.025,
@@ -50,7 +52,14 @@
     'store_reachable': 'Whether the platform store answers the process.',
     'endpoints': 'Endpoints that are known.',
     'endpoint_requests_total': 'Requests sent to endpoints, by purpose.',
+    'endpoints_leaving': 'Endpoints that say that they leave.',
+    'requests_with_crashes': 'Requests under which an endpoint has ended.',
+    'requests_not_sent_again': 'Requests refused after two such ends.',
     'endpoints_limited': 'Endpoints that name a limit of requests a second.',
+    'held_bytes': 'Bytes of requests, responses and frames that are held.',
+    'holds_ended': 'Requests, responses and frames ended to free memory.',
+    'descriptors': 'Open descriptors, files included.',
+    'client_refusals_total': 'Clients refused or cut off, by reason.',
     'log_lines_dropped': 'Log lines left out since their reader was slow.',
 }
 
@@ -141,14 +150,16 @@
         content, _ = renderer.render(self._registry, ['text/plain'])
         return content
 
-    async def serve(self, address, log):
+    async def serve(self, address, log, table=None):
         """Listen for scrapers, then load the library after a delay.
 
         :param address: ``HOST:PORT``; empty for no listener
         :param log: logger
+        :param table: the :class:`~admission.ConnectionTable` of the port, or
+            None
         """
         if address:
-            self._server = http.Server(self._handle, http.ServerLimits(), log)
+            self._server = http.Server(self._handle, LIMITS, log, table=table)
             await self._server.start(frames.parse_address(address))
         await asyncio.sleep(LOAD_DELAY_S)
         self.load()
--- a/src/clementineline/platform/batches.py
+++ b/src/clementineline/platform/batches.py
@@ -9,12 +9,21 @@
 from clementineline.state import submissions
 from clementineline.transport import numbers
 
-__all__ = ['decode_submission', 'encode_page', 'read_batch_call']
+__all__ = [
+    'decode_submission',
+    'encode_page',
+    'estimate_decoded_bytes',
+    'read_batch_call',
+]
 
 SUBMISSIONS_PATH = '/api/lots/'
 ITEMS_PATH = '/api/items/'
 # The platform does not let a read of results wait longer than this.
 READ_WAIT_MAX_S = 1.0
+# Memory for each member of a JSON object while a submission is decoded, beyond
+# the size of its body: 83 to 185 bytes were measured, the most with a hundred
+# short headers an item.
+MEMBER_BYTES = 200
 
 
 class _Scorer(msgspec.Struct):
@@ -81,6 +90,16 @@
     )
 
 
+def estimate_decoded_bytes(body):
+    """Return an upper bound of the memory that a decoded body needs.
+
+    Colons within texts count as well, so it may be too high.
+
+    :param body: body of a submission, JSON bytes
+    """
+    return len(body) + MEMBER_BYTES * body.count(b':')
+
+
 def decode_submission(facts, route, service, body, now, routes_version):
     """Decode a batch submission.
 
--- a/src/clementineline/platform/dialect.py
+++ b/src/clementineline/platform/dialect.py
@@ -30,6 +30,7 @@
     read_reply = staticmethod(calls.read_reply)
     read_batch_call = staticmethod(batches.read_batch_call)
     decode_submission = staticmethod(batches.decode_submission)
+    estimate_decoded_bytes = staticmethod(batches.estimate_decoded_bytes)
     encode_page = staticmethod(batches.encode_page)
     build_call = staticmethod(calls.build_call)
     build_item_call = staticmethod(calls.build_item_call)
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -1,5 +1,7 @@
 """Loads process settings from the platform's settings file."""
 
+import resource
+
 import msgspec
 
 from clementineline import errors
@@ -15,8 +17,24 @@
 # Submissions are kept this long beyond the time for which the platform
 # requires their results to be readable.
 RETENTION_MARGIN_S = 60.0
-# A body is copied up to three times on its way to the caller.
-RESPONSE_MEMORY_SHARE = 0.1
+# Memory of a process that holds nothing for others: 35 to 40 MB at the start,
+# 70 MB with the entries of hundreds of machines.
+PROCESS_MB = 70.0
+# Part of the rest that bytes of others may use. What is left is for buffers of
+# the allocator and for copies of one piece at a time.
+HELD_SHARE = 0.75
+HELD_MIN_MB = 16.0
+# Descriptors of the process that are meant for files.
+FILES_MAX = 200
+# Most descriptors that are used where the settings name no limit.
+FDS_UNKNOWN_MAX = 4096
+# Shares of the remaining descriptors. Each call of a caller may need one
+# connection to an endpoint, which the rest is for. Keepers have no callers.
+CALLERS_SHARE = 0.5
+GATEWAY_PEERS_SHARE = 0.1875
+KEEPER_PEERS_SHARE = 0.625
+PROBES_SHARE = 1 / 32
+SOCKETS_MIN = 64
 # Must be the port of ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -53,7 +71,11 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
+    # Memory of the VM; 0 if unknown.
     memory_mb: float = 0.0
+    # Descriptors that the process may open, files included; 0 for the
+    # system's limit.
+    max_fds: int = 0
 
 
 class _BootSettings(msgspec.Struct, rename='camel'):
@@ -90,12 +112,27 @@
     )
 
 
-def _derive_response_bytes(boot):
-    """Return the part of the VM's memory that responses may hold."""
-    bytes_max = int(boot.limits.memory_mb * 1e6 * RESPONSE_MEMORY_SHARE)
-    if not bytes_max:
-        return settings.RESPONSE_BYTES
-    return min(bytes_max, settings.RESPONSE_BYTES)
+def _derive_bounds(boot, peers_share):
+    """Return the :class:`~settings.ProcessBounds` for the VM's limits.
+
+    :param peers_share: share of the descriptors for other processes
+    """
+    fds_max = boot.limits.max_fds
+    if not fds_max:
+        fds_max, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if fds_max == resource.RLIM_INFINITY or fds_max > FDS_UNKNOWN_MAX:
+            fds_max = FDS_UNKNOWN_MAX
+    sockets = max(fds_max - FILES_MAX, SOCKETS_MIN)
+    held_bytes = settings.HELD_BYTES
+    if boot.limits.memory_mb:
+        held_mb = (boot.limits.memory_mb - PROCESS_MB) * HELD_SHARE
+        held_bytes = int(max(held_mb, HELD_MIN_MB) * 1e6)
+    return settings.ProcessBounds(
+        held_bytes=held_bytes,
+        caller_connections=int(sockets * CALLERS_SHARE),
+        peer_connections=int(sockets * peers_share),
+        probe_connections=int(sockets * PROBES_SHARE),
+    )
 
 
 def load_gateway_settings(path):
@@ -117,7 +154,7 @@
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
-        response_bytes=_derive_response_bytes(boot),
+        bounds=_derive_bounds(boot, GATEWAY_PEERS_SHARE),
     )
 
 
@@ -145,5 +182,5 @@
         metrics=f'{boot.ip}:{METRICS_PORT}',
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
-        response_bytes=_derive_response_bytes(boot),
+        bounds=_derive_bounds(boot, KEEPER_PEERS_SHARE),
     )
--- a/src/clementineline/platform/tests/test_untrusted.py
+++ b/src/clementineline/platform/tests/test_untrusted.py
@@ -15,8 +15,8 @@
 
 from clementineline import errors
 from clementineline.experiments import processes
-from clementineline.platform.tests import standin
 from clementineline.platform.tests.soak import fleet
+from clementineline.platform.tests import standin
 from clementineline.platform.tests import untrusted
 from clementineline.transport import frames
 from clementineline.transport import http
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -27,8 +27,9 @@
 NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
+# Limit where the memory of the VM is unknown.
+HELD_BYTES = 128 * 1024 * 1024
 # Largest value that the object APIs of the supported platforms accept.
-RESPONSE_BYTES = 32 * 1024 * 1024
 VALUE_MAX_BYTES = 1024 * 1024
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
 Name = typing.Annotated[
@@ -235,6 +236,25 @@
     disturbed_s: PositiveFloat = 3.0
 
 
+class ProcessBounds(_Settings):
+    """Bounds on what clients can make a process hold.
+
+    The defaults are for 4,096 descriptors and an unknown amount of memory.
+
+    :param held_bytes: bytes of requests, responses, frames and unread data
+        together
+    :param caller_connections: connections of callers
+    :param peer_connections: connections of other processes
+    :param probe_connections: connections to the port of readiness, and as
+        many to that of metrics
+    """
+
+    held_bytes: PositiveInt = HELD_BYTES
+    caller_connections: PositiveInt = 1948
+    peer_connections: PositiveInt = 730
+    probe_connections: PositiveInt = 121
+
+
 class GatewaySettings(_Settings):
     """Settings of a gateway.
 
@@ -249,8 +269,7 @@
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
     :param watch: times within which a change in the store must be in force
-    :param response_bytes: bytes that all responses which are being received
-        may hold together
+    :param bounds: the :class:`ProcessBounds`
     """
 
     name: Name
@@ -263,7 +282,7 @@
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
-    response_bytes: PositiveInt = RESPONSE_BYTES
+    bounds: ProcessBounds = ProcessBounds()
 
 
 class KeeperSettings(_Settings):
@@ -280,8 +299,7 @@
     :param value_bytes: largest value that the platform's store accepts, in
         bytes
     :param watch: times within which a change in the store must be in force
-    :param response_bytes: bytes that all responses which are being received
-        may hold together
+    :param bounds: the :class:`ProcessBounds`
     """
 
     name: Name
@@ -294,7 +312,7 @@
     metrics: str = ''
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
-    response_bytes: PositiveInt = RESPONSE_BYTES
+    bounds: ProcessBounds = ProcessBounds()
 
 
 def _check_addresses(value, where):
--- a/src/clementineline/transport/frames.py
+++ b/src/clementineline/transport/frames.py
@@ -12,6 +12,7 @@
 import struct
 
 from clementineline import errors
+from clementineline.transport import channels
 from clementineline.transport import sockets
 
 __all__ = [
@@ -26,6 +27,9 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 READ_BYTES = 256 * 1024
 CLOSE_TIMEOUT_S = 1.0
+# Longest time from the first bytes of a frame to its end. Other processes send
+# the largest frames within a second.
+FRAME_TIMEOUT_S = 15.0
 _HEADER = struct.Struct('>I')
 
 
@@ -67,6 +71,9 @@
     :param reader: the connection's stream reader
     :param writer: the connection's stream writer
     :param max_bytes: largest frame accepted from the peer, in bytes
+    :ivar entry: the :class:`~admission.Entry` of the connection, or None
+    :ivar hold: the :class:`~buffers.Hold` of the bytes of unfinished frames,
+        or None
     """
 
     __slots__ = (
@@ -79,6 +86,8 @@
         '_writer',
         'bytes_in',
         'bytes_out',
+        'entry',
+        'hold',
         'max_bytes',
     )
 
@@ -92,6 +101,8 @@
         self._flush_handle = None
         self._frames = collections.deque()
         self._partial = bytearray()
+        self.entry = None
+        self.hold = None
         self.max_bytes = max_bytes
         self.bytes_in = 0
         self.bytes_out = 0
@@ -102,18 +113,32 @@
         :raises errors.ConnectionLost: if the connection ended
         :raises errors.FrameTooLarge: if a frame is over ``max_bytes``
         """
+        ends_at = None
         while not self._frames:
+            if self._partial and ends_at is None and self.hold is not None:
+                ends_at = self._loop.time() + FRAME_TIMEOUT_S
             try:
-                data = await self._reader.read(READ_BYTES)
-            except OSError as error:
-                raise errors.ConnectionLost(str(error)) from error
+                async with asyncio.timeout_at(ends_at):
+                    data = await self._reader.read(READ_BYTES)
+            except (OSError, TimeoutError) as error:
+                raise errors.ConnectionLost(repr(error)) from error
             if not data:
                 raise errors.ConnectionLost('the peer closed the connection')
             self.bytes_in += len(data)
             self._partial += data
             self._split_frames()
+            self._count_held()
         return self._frames.popleft()
 
+    def _count_held(self):
+        if self.entry is not None and self._frames:
+            # Tells a connection in use from one that is only open.
+            self.entry.set_state(self.entry.state)
+        if self.hold is None:
+            return
+        if not self.hold.resize(len(self._partial)):
+            raise errors.ConnectionLost('memory is short')
+
     def _split_frames(self):
         partial = self._partial
         start = 0
@@ -158,6 +183,11 @@
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self._writer.wait_closed()
 
+    def drop(self):
+        """Close the connection at once and free the unfinished frame."""
+        self._partial = bytearray()
+        self.abort()
+
     def abort(self):
         """Close the connection at once and drop the buffered frames."""
         transport = self._writer.transport
@@ -183,20 +213,40 @@
     return FrameStream(reader, writer)
 
 
-async def start_server(address, serve_stream):
+async def start_server(address, serve_stream, budget=None, table=None):
     """Accept connections and serve each in a task of its own.
 
     :param address: the :class:`Address` to listen on
     :param serve_stream: coroutine function called with each
         :class:`FrameStream`
+    :param budget: the :class:`~buffers.BufferBudget` of unfinished frames, or
+        None
+    :param table: the :class:`~admission.ConnectionTable` of the port, or None
     :returns: the :class:`asyncio.Server`
     """
 
     async def accept(reader, writer):
         stream = FrameStream(reader, writer)
+        peer = writer.get_extra_info('peername')
+        if table is not None:
+            host = peer[0] if peer else ''
+            stream.entry = table.add(host, stream.abort)
+            if stream.entry is None:
+                stream.abort()
+                return
+        if budget is not None:
+            stream.hold = budget.open(stream.drop)
         try:
             await serve_stream(stream)
         finally:
+            if stream.hold is not None:
+                stream.hold.release()
             await stream.close()
+            if table is not None:
+                table.remove(stream.entry)
+
+    def build_protocol():
+        reader = asyncio.StreamReader()
+        return asyncio.StreamReaderProtocol(reader, accept)
 
-    return await asyncio.start_server(accept, address.host, address.port)
+    return await channels.listen(build_protocol, address)
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -7,11 +7,15 @@
 
 import asyncio
 import dataclasses
+import math
 
 import h11
 
 from clementineline import errors
+from clementineline.transport import admission
+from clementineline.transport import buffers
 from clementineline.transport import channels
+from clementineline.transport import reading
 
 __all__ = [
     'Head',
@@ -25,6 +29,13 @@
 
 # Time to send the responses of requests that a drain has ended.
 END_TIMEOUT_S = 0.2
+# Time in which a body must be complete if the request names no limit.
+UPLOAD_S = 60.0
+# Most bytes of a caller's connection that are received while its request is
+# handled. An orderly caller sends none.
+READ_AHEAD_BYTES = 16 * 1024
+# Time without any progress after which a caller does not read its response.
+SEND_STALL_S = 15.0
 
 _CONNECTION_HEADERS = frozenset(
     (
@@ -55,43 +66,8 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class ServerLimits:
-    """Limits on the size of requests and on the time to read them.
-
-    :param header_bytes: largest request line and headers, in bytes
-    :param body_bytes: largest body, in bytes
-    :param header_s: longest wait for each next piece of a request whose
-        first bytes have arrived, in seconds
-    :param idle_s: longest wait for the first bytes of a request, in seconds
-    """
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 32 * 1024 * 1024
-    header_s: float = 3.0
-    idle_s: float = 15.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Head:
-    """Method, target and headers of a request, byte for byte.
-
-    :param headers: pairs of name and value
-    """
-
-    method: bytes
-    target: bytes
-    headers: tuple
-
-    @property
-    def path(self):
-        """The target without the query string."""
-        return self.target.partition(b'?')[0]
-
-    @property
-    def query(self):
-        """The query string, without the question mark."""
-        return self.target.partition(b'?')[2]
+Head = reading.Head
+ServerLimits = reading.ServerLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,6 +118,9 @@
     :param protocol: the connection's :class:`h11.Connection`
     :param server: the :class:`Server` that read it
     :param arrived_at: loop time at which its last byte was read, in seconds
+    :param hold: the :class:`~buffers.Hold` of its bytes
+    :param unsent: the :class:`~buffers.Hold` of the bytes that the caller has
+        not taken
     :ivar aborted: whether :meth:`abort` has ended the response
     :ivar request_id: the caller's id of the request; '' until the handler
         sets it
@@ -152,15 +131,19 @@
         '_channel',
         '_protocol',
         '_server',
+        '_unsent',
         'aborted',
         'arrived_at',
         'body',
         'head',
+        'hold',
         'request_id',
         'response_started',
     )
 
-    def __init__(self, head, body, channel, protocol, server, arrived_at):
+    def __init__(
+        self, head, body, channel, protocol, server, arrived_at, hold, unsent
+    ):
         self.head = head
         self.body = body
         self.arrived_at = arrived_at
@@ -170,12 +153,19 @@
         self._channel = channel
         self._protocol = protocol
         self._server = server
+        self._unsent = unsent
+        self.hold = hold
 
     @property
     def is_abandoned(self):
         """Whether the caller has closed its connection."""
         return self._channel.is_disconnected
 
+    def drop_body(self):
+        """Free the body, which is not needed any more."""
+        self.hold.add(-len(self.body))
+        self.body = b''
+
     def respond(self, status, headers=(), body=b''):
         """Send a complete response.
 
@@ -192,14 +182,25 @@
         data = self._build_head(
             status, headers, [(b'Content-Length', b'%d' % len(body))]
         )
-        if body and self.head.method != b'HEAD':
-            data += protocol.send(h11.Data(data=body))
         if self.head.method == b'HEAD':
             self._channel.send(data)
             self._channel.close()
             return
-        data += protocol.send(h11.EndOfMessage())
+        if len(body) > channels.SEND_PIECE_BYTES:
+            self._send(data)
+            data = b''
+            for piece in protocol.send_with_data_passthrough(
+                h11.Data(data=body)
+            ):
+                self._send(piece)
+        elif body:
+            data += protocol.send(h11.Data(data=body))
+        self._send(data + protocol.send(h11.EndOfMessage()))
+
+    def _send(self, data):
         self._channel.send(data)
+        if not self._channel.lost:
+            self._unsent.resize(self._channel.unsent_bytes)
 
     def start_response(self, status, headers):
         """Send the head of a response whose body follows in pieces.
@@ -212,7 +213,7 @@
         if self.response_started or self._channel.lost:
             return
         self.response_started = True
-        self._channel.send(self._build_head(status, headers))
+        self._send(self._build_head(status, headers))
 
     def _build_head(self, status, headers, framing=()):
         """Return the bytes of the response's status line and headers."""
@@ -233,15 +234,17 @@
 
     def send(self, data):
         """Send a piece of the response's body."""
-        self._channel.send(self._protocol.send(h11.Data(data=data)))
+        self._send(self._protocol.send(h11.Data(data=data)))
 
     async def drain(self):
         """Wait while too many sent bytes are still buffered."""
         await self._channel.drain()
+        if not self._channel.lost:
+            self._unsent.resize(self._channel.unsent_bytes)
 
     def finish(self):
         """End the body, which completes the response."""
-        self._channel.send(self._protocol.send(h11.EndOfMessage()))
+        self._send(self._protocol.send(h11.EndOfMessage()))
 
     def abort(self):
         """Close the connection so that the response looks incomplete."""
@@ -254,6 +257,78 @@
             self._channel.abort()
 
 
+class _Connection:
+    """A caller's connection, and what the server holds for it.
+
+    :param channel: the :class:`~channels.Channel`
+    :param server: the :class:`Server`
+    :param address: IP address of the caller
+    """
+
+    __slots__ = (
+        'address',
+        'channel',
+        'entry',
+        'hold',
+        'protocol',
+        'reader',
+        'server',
+        'unsent',
+    )
+
+    def __init__(self, channel, server, address):
+        self.address = address
+        self.channel = channel
+        self.server = server
+        self.hold = server.budget.open()
+        self.unsent = server.budget.open(self._cut)
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
+        )
+        self.reader = None
+        self.entry = None
+
+    def _cut(self):
+        """Cut a response, as the memory is needed for others."""
+        self.server.note_refusal(self, 'unread')
+        self.channel.abort()
+
+    def build_request(self, head, body):
+        """Return the :class:`IncomingRequest` of a head and a body."""
+        return IncomingRequest(
+            head,
+            body,
+            self.channel,
+            self.protocol,
+            self.server,
+            asyncio.get_running_loop().time(),
+            self.hold,
+            self.unsent,
+        )
+
+    async def drain(self):
+        """Wait until the caller has taken most of its response.
+
+        :returns: whether it has; not if it takes nothing for a long time
+        """
+        channel = self.channel
+        self.entry.set_state(admission.State.SENDING)
+        while True:
+            left = channel.unsent_bytes
+            try:
+                async with asyncio.timeout(SEND_STALL_S):
+                    await channel.drain()
+                break
+            except TimeoutError:
+                if channel.unsent_bytes == left:
+                    self._cut()
+                    return False
+                self.unsent.resize(channel.unsent_bytes)
+        if channel.lost:
+            return False
+        return self.unsent.resize(channel.unsent_bytes)
+
+
 class Server:
     """HTTP server that serves each connection in a task of its own.
 
@@ -261,46 +336,88 @@
         :class:`IncomingRequest`; cancelled when the caller disconnects
     :param limits: a :class:`ServerLimits`; may be replaced at any time
     :param log: logger
+    :param budget: the :class:`~buffers.BufferBudget` of the process; None
+        for no limit
+    :param table: the :class:`~admission.ConnectionTable` of the port; None
+        for no limit
+    :param refusals: the :class:`~admission.RefusalRecord`, or None
     :ivar draining: whether connections close after their current request
+    :ivar get_upload_s: function from a :class:`Head` to the time in which the
+        body must be complete, in seconds
+    :ivar refusal_headers: headers of a response that refuses a request for
+        lack of memory
     """
 
     __slots__ = (
+        '_connections',
         '_handle',
         '_handlers',
-        '_idle_channels',
         '_log',
+        '_refusals',
         '_server',
+        '_table',
         '_tasks',
+        'budget',
         'draining',
+        'get_upload_s',
         'limits',
+        'refusal_headers',
     )
 
-    def __init__(self, handle, limits, log):
+    def __init__(
+        self, handle, limits, log, budget=None, table=None, refusals=None
+    ):
         self._handle = handle
         # Requests by the task that handles them.
         self._handlers = {}
         self._log = log
+        self._refusals = refusals or admission.RefusalRecord(log)
         self._server = None
+        self._table = table or admission.ConnectionTable(
+            math.inf, self._refusals
+        )
         self._tasks = set()
-        self._idle_channels = set()
+        self._connections = set()
+        self.budget = budget or buffers.BufferBudget(math.inf)
         self.limits = limits
         self.draining = False
+        self.get_upload_s = lambda head: UPLOAD_S
+        self.refusal_headers = ()
 
     async def start(self, address):
         """Listen on an :class:`~frames.Address`."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: channels.Channel(self._accept),
-            address.host,
-            address.port,
-            backlog=1024,
+        self._server = await channels.listen(
+            lambda: channels.Channel(self._accept, READ_AHEAD_BYTES), address
         )
 
     def _accept(self, channel):
-        task = asyncio.create_task(self._serve(channel))
+        peer = channel.transport.get_extra_info('peername')
+        connection = _Connection(channel, self, peer[0] if peer else '')
+        connection.entry = self._table.add(connection.address, channel.abort)
+        if connection.entry is None:
+            channel.abort()
+            return
+        connection.reader = reading.RequestReader(
+            channel,
+            connection.protocol,
+            connection.hold,
+            connection.entry,
+            lambda head: self.get_upload_s(head),
+        )
+
+        def forget():
+            self._table.remove(connection.entry)
+            connection.unsent.release()
+
+        channel.on_lost = forget
+        task = asyncio.create_task(self._serve(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def note_refusal(self, connection, reason, **details):
+        """Count and log that a caller is refused or cut off."""
+        self._refusals.note(connection.address, reason, **details)
+
     @property
     def connections(self):
         """Number of open connections."""
@@ -314,8 +431,9 @@
         :param timeout_s: longest time to wait for them, in seconds
         """
         self.draining = True
-        for channel in list(self._idle_channels):
-            channel.close()
+        for connection in list(self._connections):
+            if connection.reader.idle:
+                connection.channel.close()
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=timeout_s)
         await self._end_requests()
@@ -339,25 +457,28 @@
         if self._server is not None:
             self._server.close()
 
-    async def _serve(self, channel):
+    async def _serve(self, connection):
+        self._connections.add(connection)
         try:
-            await self._serve_requests(channel)
+            await self._serve_requests(connection)
         except errors.ConnectionLost:
             pass
         except Exception as error:
             self._log.error('connection failed', exc_info=error)
         finally:
-            channel.close()
-
-    async def _serve_requests(self, channel):
-        limits = self.limits
-        protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+            self._connections.discard(connection)
+            connection.hold.release()
+            connection.entry.set_state(admission.State.SENDING)
+            connection.channel.close()
+
+    async def _serve_requests(self, connection):
+        channel = connection.channel
+        protocol = connection.protocol
         while True:
-            incoming = await self._read_request(channel, protocol)
+            incoming = await self._read_request(connection)
             if incoming is None:
                 return
+            connection.entry.set_state(admission.State.BUSY)
             await self._run_handler(channel, incoming)
             if (
                 not incoming.response_started
@@ -365,7 +486,11 @@
                 or channel.is_disconnected
             ):
                 return
-            await channel.drain()
+            # The request's body is not needed for its response.
+            incoming = None
+            connection.reader.forget()
+            if not await connection.drain():
+                return
             if protocol.our_state is h11.MUST_CLOSE or self.draining:
                 return
             if protocol.their_state is not h11.DONE:
@@ -397,92 +522,44 @@
             )
             incoming.respond(502, (), b'internal error\n')
 
-    async def _read_request(self, channel, protocol):
+    async def _read_request(self, connection):
         """Read a request; return None if the connection must be closed."""
-        limits = self.limits
-        head = None
-        body = bytearray()
-        timeout_s = limits.idle_s
-        if not channel.has_unread and not protocol.trailing_data[0]:
-            self._idle_channels.add(channel)
         try:
-            while True:
-                event = protocol.next_event()
-                if event is h11.NEED_DATA:
-                    if protocol.they_are_waiting_for_100_continue:
-                        channel.send(
-                            protocol.send(
-                                h11.InformationalResponse(
-                                    status_code=100, headers=()
-                                )
-                            )
-                        )
-                    async with asyncio.timeout(timeout_s):
-                        data = await channel.receive()
-                    self._idle_channels.discard(channel)
-                    timeout_s = limits.header_s
-                    protocol.receive_data(data)
-                    continue
-                if isinstance(event, h11.Request):
-                    head = Head(
-                        event.method,
-                        event.target,
-                        tuple(event.headers.raw_items()),
-                    )
-                    self._check_framing(head)
-                    continue
-                if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > limits.body_bytes:
-                        raise errors.RequestError(
-                            413,
-                            f'body over {limits.body_bytes} bytes',
-                        )
-                    continue
-                if isinstance(event, h11.EndOfMessage):
-                    return IncomingRequest(
-                        head,
-                        bytes(body),
-                        channel,
-                        protocol,
-                        self,
-                        asyncio.get_running_loop().time(),
-                    )
-                return None
+            found = await connection.reader.read(self.limits)
         except h11.RemoteProtocolError as error:
-            self._refuse(channel, protocol, error.error_status_hint, error)
+            self._refuse(
+                connection, error.error_status_hint, 'malformed', error
+            )
+        except reading.Refused as error:
+            self._refuse(connection, error.status, error.reason, error)
         except errors.RequestError as error:
-            self._refuse(channel, protocol, error.status, error)
-        except TimeoutError:
-            if head is not None:
-                self._refuse(channel, protocol, 408, 'request came too slowly')
-        finally:
-            self._idle_channels.discard(channel)
+            reason = 'large' if error.status == 413 else 'malformed'
+            self._refuse(connection, error.status, reason, error)
+        else:
+            if found is not None:
+                return connection.build_request(*found)
         return None
 
-    def _check_framing(self, head):
-        lengths = set()
-        chunked = False
-        for key, value in head.headers:
-            lower = key.lower()
-            if lower == b'content-length':
-                lengths.add(value)
-            if lower == b'transfer-encoding':
-                chunked = True
-        if len(lengths) > 1 or (lengths and chunked):
-            raise errors.RequestError(
-                400, 'ambiguous length: expected one Content-Length or chunks'
-            )
+    def _refuse(self, connection, status, reason, error):
+        """Refuse a request that was not handled.
 
-    def _refuse(self, channel, protocol, status, reason):
-        self._log.info('request refused', status=status, reason=str(reason))
-        if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        :param status: HTTP status; 0 for no response
+        :param reason: one word, for the counter
+        """
+        self.note_refusal(connection, reason, status=status, text=str(error))
+        protocol = connection.protocol
+        if not status or protocol.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
             return
-        text = f'{reason}\n'.encode()
+        text = f'{error}\n'.encode()
         headers = [
             (b'Content-Length', b'%d' % len(text)),
             (b'Connection', b'close'),
         ]
+        if status == 503:
+            headers.extend(self.refusal_headers)
         data = protocol.send(
             h11.Response(
                 status_code=status,
@@ -492,4 +569,4 @@
         )
         data += protocol.send(h11.Data(data=text))
         data += protocol.send(h11.EndOfMessage())
-        channel.send(data)
+        connection.channel.send(data)
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client that forwards requests and responses byte for byte."""
 
 import asyncio
+import io
 
 import h11
 
@@ -10,6 +11,9 @@
 __all__ = ['Client', 'connect']
 
 RESPONSE_HEAD_MAX_BYTES = 64 * 1024
+# An unfinished request has run nowhere, so it is ended before a response that
+# holds up to four times as much.
+RESPONSE_WEIGHT = 0.25
 
 
 class Client:
@@ -81,12 +85,19 @@
                     method=head.method, target=head.target, headers=headers
                 )
             )
-            if body:
-                data += self._protocol.send(h11.Data(data=body))
-            data += self._protocol.send(h11.EndOfMessage())
+            pieces = [data]
+            if len(body) > channels.SEND_PIECE_BYTES:
+                # The body itself, not a copy, as its length is announced.
+                pieces += self._protocol.send_with_data_passthrough(
+                    h11.Data(data=body)
+                )
+            elif body:
+                pieces[0] += self._protocol.send(h11.Data(data=body))
+            self._protocol.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise errors.RequestError(400, f'malformed request: {error}')
-        self._channel.send(data)
+        for piece in pieces:
+            self._channel.send(piece)
 
     async def receive_head(self):
         """Return the head of the response; skip informational (1xx) ones.
@@ -124,22 +135,29 @@
 
         :raises errors.ProtocolError: if it is larger than ``max_bytes``
         """
-        body = bytearray()
+        body = io.BytesIO()
+        hold = None
+        if self.budget is not None:
+            hold = self.budget.open(self.close, RESPONSE_WEIGHT)
         try:
             while True:
                 data = await self.receive_data()
                 if data is None:
-                    return bytes(body)
-                body += data
-                if len(body) > max_bytes:
+                    # Not a copy: the body's buffer becomes the bytes.
+                    return body.getvalue()
+                body.write(data)
+                if body.tell() > max_bytes:
                     raise errors.ProtocolError(
                         f'response over {max_bytes} bytes'
                     )
-                if self.budget is not None:
-                    self.budget.add(self, len(data))
+                if hold is not None and not hold.add(len(data)):
+                    raise errors.ProtocolError(
+                        f'response ended after {body.tell()} bytes: the '
+                        f'process may hold {self.budget.limit_bytes} bytes'
+                    )
         finally:
-            if self.budget is not None:
-                self.budget.remove(self)
+            if hold is not None:
+                hold.release()
 
     async def _next_event(self):
         try:
