Return the memory of large bodies to the system

Cause: the allocator of the GNU library keeps up to twice the largest freed block, and bodies that grow leave holes, so a process held 123 to 126 MB where its budget and its own memory make 96 MB. Change: the programs fix the thresholds of the allocator at their start.

--- a/src/clementineline/platform/main.py
+++ b/src/clementineline/platform/main.py
@@ -6,6 +6,7 @@
 import sys
 
 from clementineline.daemons import logs
+from clementineline.daemons import memory
 from clementineline import errors
 from clementineline.platform import dialect
 from clementineline.platform import objects
@@ -98,6 +99,7 @@
         )
         return 2
     path = os.environ.get(settings.BOOT_VARIABLE, '')
+    memory.return_freed_memory()
     try:
         asyncio.run(_serve(arguments[0], path))
     except errors.SettingsError as error:
