Do not blame an endpoint for a caller that does not read

Cause: a caller that does not read its stream makes the endpoint wait, which then cuts off its response; the endpoint got a backoff for it, so a few such callers took it from all others. On a resumable route the wait counted as a gap between events. Change: after half a second in which the caller takes nothing, the end of that attempt says nothing about the endpoint, and the wait is no gap. What an endpoint has sent meanwhile counts in the budget of the process; reading stops at 64 KB instead of 256 KB.

--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -13,6 +13,7 @@
 from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import verdicts
+from clementineline.transport import channels
 from clementineline.transport import events
 from clementineline.transport import http
 
@@ -21,6 +22,10 @@
 # Callers abandon a stream after a gap of 2 s between events, so a resumable
 # stream must move to another endpoint well before that.
 DATA_GAP_TIMEOUT_S = 1.0
+# A caller that takes nothing for this long makes its endpoint wait. What the
+# endpoint does then says nothing about it: it may cut off a response that is
+# not read for some seconds.
+SLOW_CALLER_S = 0.5
 
 
 class _Stream:
@@ -31,15 +36,34 @@
     :ivar tried: ids of the endpoints that the request was sent to
     :ivar refused: ids of the endpoints that it was not sent to, because of
         their limits
+    :ivar waited_for_caller: whether the current endpoint had to wait for the
+        caller
     """
 
-    __slots__ = ('head_sent', 'last_event', 'refused', 'tried')
+    __slots__ = (
+        'head_sent',
+        'last_event',
+        'refused',
+        'tried',
+        'waited_for_caller',
+    )
 
     def __init__(self, last_event):
         self.head_sent = False
         self.last_event = last_event
         self.tried = []
         self.refused = []
+        self.waited_for_caller = False
+
+    async def drain(self, incoming):
+        """Wait until the caller has taken most of what was sent."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        try:
+            await incoming.drain()
+        finally:
+            if loop.time() - started > SLOW_CALLER_S:
+                self.waited_for_caller = True
 
 
 def _find_fault(stream, number, raw, consecutive):
@@ -140,6 +164,7 @@
         started = loop.time()
         first = stream.last_event
         state.in_flight += 1
+        stream.waited_for_caller = False
         verdict = None
         sent = True
         try:
@@ -175,7 +200,7 @@
             self._crash_record.clear(
                 incoming.head, incoming.body, incoming.request_id
             )
-        elif sent:
+        elif sent and not stream.waited_for_caller:
             state.record_failure(loop.time())
         return verdict
 
@@ -220,15 +245,22 @@
                 incoming.start_response(
                     200, http.strip_connection_headers(headers)
                 )
-            verdict = await self._relay(
-                stream, incoming, client, gap_s, route.resumable
-            )
+            # What the endpoint has sent while the caller does not read.
+            hold = self._pool.budget.open()
+            hold.resize(channels.READ_HIGH_WATER_BYTES)
+            try:
+                verdict = await self._relay(
+                    stream, incoming, client, gap_s, route.resumable
+                )
+            finally:
+                hold.release()
             complete = isinstance(verdict, verdicts.Answered)
             return verdict
         except (errors.ProtocolError, TimeoutError) as error:
             if loop.time() >= deadline:
                 raise TimeoutError from error
-            if isinstance(error, errors.ProtocolError):
+            cut = isinstance(error, errors.ProtocolError)
+            if cut and not stream.waited_for_caller:
                 if await self._pool.has_ended(state):
                     self._crash_record.note(
                         incoming.head,
@@ -263,7 +295,8 @@
         on a connection whose end is the only end of the body.
 
         :param gap_s: longest gap between events in seconds, or None; bytes
-            that complete no event do not count
+            that complete no event do not count, nor does the time in which
+            the caller takes nothing
         :param consecutive: whether each event has the number after that of
             the event before it
         :returns: a verdict
@@ -290,7 +323,9 @@
                     stream.last_event = number
                     event_at = loop.time()
                 incoming.send(raw)
-            await incoming.drain()
+            waited_from = loop.time()
+            await stream.drain(incoming)
+            event_at += loop.time() - waited_from
         if splitter.has_partial:
             return verdicts.MayHaveRun('stream ended within an event')
         if not relayed and client.ends_with_connection:
--- a/src/clementineline/platform/tests/test_streams.py
+++ b/src/clementineline/platform/tests/test_streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -260,3 +261,33 @@
         client.close()
         assert reply.status_code == 502
         assert sum(len(engine.runs) for engine in streams.engines) == 1
+
+
+class TestSlowCaller:
+    """A caller that does not read must not take endpoints from others."""
+
+    @pytest.mark.parametrize('resumable', [False, True])
+    async def test_endpoint_that_cuts_off_gets_no_backoff(
+        self, streams, served, wait_until, resumable
+    ):
+        await streams.add_route(resumable)
+        for engine in streams.engines:
+            engine.events = 1000
+            # Far more than the buffers of both connections hold.
+            engine.event_padding = b'x' * 65536
+            engine.break_after = 500
+        client = await streams.open()
+        await wait_until(
+            lambda: any(each.break_after is None for each in streams.engines)
+        )
+        # The next endpoint completes the stream.
+        for engine in streams.engines:
+            engine.break_after = None
+        directory = served.gateways['gateway-1']._directory
+        with contextlib.suppress(errors.ProtocolError, TimeoutError):
+            async with asyncio.timeout(2.0):
+                await streams.read(client)
+        client.close()
+        assert streams.list_runs()
+        for state in directory.endpoints.values():
+            assert not state.backoff_until
--- a/src/clementineline/transport/channels.py
+++ b/src/clementineline/transport/channels.py
@@ -15,9 +15,9 @@
 
 __all__ = ['Channel', 'listen', 'open_channel']
 
-# Reading pauses while more bytes than this are unread. Small bodies fit;
-# larger ones are forwarded in pieces.
-READ_HIGH_WATER_BYTES = 256 * 1024
+# Reading pauses while this many bytes are unread. Each stream whose caller
+# does not read holds as many.
+READ_HIGH_WATER_BYTES = 64 * 1024
 # Larger data are written in pieces, since a transport copies what the system
 # does not take at once.
 SEND_PIECE_BYTES = 64 * 1024
--- a/src/clementineline/transport/tests/test_http.py
+++ b/src/clementineline/transport/tests/test_http.py
@@ -214,6 +214,98 @@
         assert response.endswith(b'whole')
 
 
+class TestUntrustedClients:
+    """A refused request has not been handled; others go on."""
+
+    HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n'
+
+    async def read_status(self, reader):
+        async with asyncio.timeout(5):
+            return (await reader.read(65536))[9:12]
+
+    async def test_body_that_is_not_complete_in_time_is_408(self, log):
+        """Bytes that arrive now and then kept a body open without end."""
+        handled = []
+        server, address = await serve_requests(handled.append, log)
+        server.get_upload_s = lambda head: 0.3
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(self.HEAD)
+        status = asyncio.create_task(self.read_status(reader))
+        for _ in range(40):
+            writer.write(b'x')
+            await asyncio.sleep(0.02)
+        assert await status == b'408'
+        assert handled == []
+        writer.close()
+
+    async def test_headers_that_arrive_slowly_are_cut_off(self, log):
+        """Each byte began the time for the headers anew."""
+        _, address = await serve_requests(None, log, header_s=0.3)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        closed = asyncio.create_task(self.read_status(reader))
+        for _ in range(40):
+            writer.write(b'G')
+            await asyncio.sleep(0.02)
+        assert closed.done()
+        writer.close()
+
+    async def test_largest_unfinished_body_is_refused(self, log):
+        """A small request has room, also if large ones use the memory."""
+        handled = []
+
+        async def handle(incoming):
+            handled.append(incoming.head.method)
+            incoming.respond(200)
+
+        server, address = await serve_requests(handle, log)
+        server.budget.limit_bytes = 300_000
+        opened = []
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            writer.write(self.HEAD + b'x' * 150_000)
+            await asyncio.sleep(0.1)
+            opened.append((reader, writer))
+        response = await send_raw(
+            address, b'GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        assert response.startswith(b'HTTP/1.1 200')
+        assert handled == [b'GET']
+        assert await self.read_status(opened[0][0]) == b'503'
+        opened[1][1].write(b'x' * 50_000)
+        assert await self.read_status(opened[1][0]) == b'200'
+        for _, writer in opened:
+            writer.close()
+
+    async def test_large_response_arrives_whole_at_a_slow_caller(self, log):
+        """Pieces that are sent later must not be lost, mixed or cut off."""
+        body = b''.join(b'%07d\n' % number for number in range(1_000_000))
+
+        async def handle(incoming):
+            incoming.respond(200, (), body)
+
+        server, address = await serve_requests(handle, log)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(
+            b'GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        await asyncio.sleep(0.3)
+        assert server.budget.used_bytes > 1_000_000
+        response = await reader.read(-1)
+        assert response.partition(b'\r\n\r\n')[2] == body
+        writer.close()
+        async with asyncio.timeout(5):
+            while server.budget.used_bytes:
+                await asyncio.sleep(0.01)
+
+
 class TestConnectionHeaders:
     def test_headers_named_by_connection_are_removed(self):
         kept = http.strip_connection_headers(
