Soak with untrusted clients; bound idle callers by memory

Cause: with many descriptors on a small VM, connections that send nothing could fill most of the budget, so that a large body had no room. Change: callers get no more connections than a quarter of the budget holds. Seeds that are divisible by five have untrusted clients, whose requests never become complete.

--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -6,6 +6,7 @@
 
 from clementineline import errors
 from clementineline.state import settings
+from clementineline.transport import reading
 
 __all__ = ['BOOT_VARIABLE', 'load_gateway_settings', 'load_keeper_settings']
 
@@ -34,6 +35,9 @@
 GATEWAY_PEERS_SHARE = 0.1875
 KEEPER_PEERS_SHARE = 0.625
 PROBES_SHARE = 1 / 32
+# Connections of callers that send nothing may use this share of what the
+# process may hold.
+CONNECTIONS_HELD_SHARE = 0.25
 SOCKETS_MIN = 64
 # Must be the port of ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
@@ -127,9 +131,10 @@
     if boot.limits.memory_mb:
         held_mb = (boot.limits.memory_mb - PROCESS_MB) * HELD_SHARE
         held_bytes = int(max(held_mb, HELD_MIN_MB) * 1e6)
+    affordable = held_bytes * CONNECTIONS_HELD_SHARE / reading.CONNECTION_BYTES
     return settings.ProcessBounds(
         held_bytes=held_bytes,
-        caller_connections=int(sockets * CALLERS_SHARE),
+        caller_connections=int(min(sockets * CALLERS_SHARE, affordable)),
         peer_connections=int(sockets * peers_share),
         probe_connections=int(sockets * PROBES_SHARE),
     )
--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -19,6 +19,9 @@
 
 __all__ = ['main', 'run_seed']
 
+# Seeds that are divisible by it have untrusted clients as well.
+UNTRUSTED_EACH = 5
+
 
 async def run_seed(seed, duration_s, folder, gateways=3, keepers=3):
     """Run the faults of one seed under load.
@@ -53,6 +56,10 @@
             group.create_task(
                 injector.let_servers_leave(stopping, random.Random(seed + 3))
             )
+            if seed % UNTRUSTED_EACH == 0:
+                group.create_task(
+                    injector.crowd_gateways(stopping, random.Random(seed + 4))
+                )
             await injector.run(duration_s)
             await fleet.wait_until_ready()
             stopping.set()
--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -6,6 +6,7 @@
 
 from clementineline.platform.tests.soak import checks
 from clementineline.platform.tests.soak import load
+from clementineline.platform.tests import untrusted
 
 __all__ = ['FaultInjector']
 
@@ -89,6 +90,24 @@
         while not await load.is_set_within(stopping, rng.uniform(*GAP_S)):
             await self._leave(rng.choice(names), rng.uniform(*DURATION_S))
 
+    async def crowd_gateways(self, stopping, rng):
+        """Let untrusted clients use one gateway after the other.
+
+        None of their requests is complete, so none may run.
+
+        :param stopping: event that ends it
+        :param rng: random number generator
+        """
+        while not await load.is_set_within(stopping, rng.uniform(*GAP_S)):
+            send = rng.choice(untrusted.UNFINISHED)
+            address = self._fleet.get_http_address(
+                rng.choice(self._fleet.gateways)
+            )
+            opened = await send(address, f'{address.host}0')
+            await load.is_set_within(stopping, rng.uniform(*DURATION_S))
+            for _, writer in opened:
+                writer.transport.abort()
+
     def _list_kinds(self):
         """Return pairs of a fault and the names that it may be for."""
         processes, keepers = self._fleet.names, self._fleet.keepers
--- a/src/clementineline/platform/tests/untrusted.py
+++ b/src/clementineline/platform/tests/untrusted.py
@@ -220,3 +220,5 @@
     'frames': announce_frames,
     'thousands of connections': open_many,
 }
+# Groups whose requests never become complete.
+UNFINISHED = (send_lengths, send_chunks, send_headers_slowly, open_many)
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -250,7 +250,7 @@
     """
 
     held_bytes: PositiveInt = HELD_BYTES
-    caller_connections: PositiveInt = 1948
+    caller_connections: PositiveInt = 1365
     peer_connections: PositiveInt = 730
     probe_connections: PositiveInt = 121
 
