Test of keys in logs: name the line of a refused client

Cause: refusals of malformed requests are logged as 'client refused' since the bounds on clients; the test of keys in logs looked for the earlier name. Change: the new name; the checks that no line and no error holds a key stay.

--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -236,7 +236,7 @@
             assert (await client.receive_head()).status_code == 400
             error = await client.receive_body(1000)
             client.close()
-        assert any(line['event'] == 'request refused' for line in lines)
+        assert any(line['event'] == 'client refused' for line in lines)
         assert 'key-of' not in str(lines)
         assert b'key-of' not in error
 
