--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -56,6 +56,8 @@
     :param versions: versions that generated them, in order of first use
     :param whole: whether ``texts`` holds the item's complete text
     :param failures: number of runs that the engine answered as failed
+    :param charged: tokens that its organisation was charged with for the run,
+        or None
     :param not_before: earliest loop time of the next run, in seconds
     :param avoid: ids of engines that refused or failed it, or were too slow
     :param moves: how often it left an engine that stayed slow
@@ -81,6 +83,7 @@
     whole: bool = False
     failures: int = 0
     impossible: int = 0
+    charged: float | None = None
     not_before: float = 0.0
     avoid: set = dataclasses.field(default_factory=set)
     moves: int = 0
