Start items in the fair order where organisations are in force

Cause: the leader started items of submissions from the oldest to the newest, whichever organisation they belong to. Change: the owner starts items in the turns of FairOrder, charges a run when it starts and corrects the charge when it ends. Without organisations, the turns are those of before.

--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -10,6 +10,7 @@
 import zlib
 
 from clementineline.coordination import carryover
+from clementineline.coordination import fairorder
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
@@ -62,6 +63,7 @@
     :ivar open_submissions: dict from submission id to its
         :class:`~opensubmissions.OpenSubmission`; ended ones stay until they
         are removed from the ledger
+    :ivar fair_order: the :class:`~fairorder.FairOrder` of the submissions
     :ivar synced: whether the ledger's submissions were listed in full
     :ivar on_submission: called with each submission that is started
     :ivar on_run_end: called with the end of each run, one of
@@ -87,6 +89,7 @@
         '_stopped',
         '_tasks',
         '_wakeup',
+        'fair_order',
         'on_outdated_routes',
         'on_run_end',
         'on_submission',
@@ -138,6 +141,11 @@
             self._get_service,
             log,
         )
+        self.fair_order = fairorder.FairOrder(
+            get_routes,
+            lambda submission: self._list_engines(submission, ''),
+            log,
+        )
         self._stopped = False
         self._tasks = set()
         self._wakeup = asyncio.Event()
@@ -415,29 +423,31 @@
 
     def _start_waiting(self):
         now = asyncio.get_running_loop().time()
-        for entry in self.open_submissions.values():
-            if entry.ended or not entry.waiting:
-                continue
-            self._start_items(entry, now)
+        for turn in self.fair_order.list(
+            self.open_submissions.values(), now, time.time()
+        ):
+            self._start_items(turn, now)
 
-    def _start_items(self, entry, now):
+    def _start_items(self, turn, now):
+        entry = turn.entry
         submission = entry.submission
         still_waiting = []
         # By the identity of the list of engines, which is kept as well so that
         # no other list gets the same one.
         shortlists = {}
         for run in entry.waiting:
-            if now < run.not_before:
+            if now < run.not_before or not turn.allows(run):
                 still_waiting.append(run)
                 continue
             state = self._choose_engine(submission, run, now, shortlists)
             if state is None:
                 still_waiting.append(run)
                 continue
-            self._start_run(entry, run, state, now)
+            self._start_run(entry, run, state, now, turn)
         entry.waiting = still_waiting
 
-    def _start_run(self, entry, run, state, now):
+    def _start_run(self, entry, run, state, now, turn=None):
+        self.fair_order.note_start(entry, run, turn)
         run.state = state
         run.started_at = now
         if not run.first_started_at:
@@ -445,13 +455,14 @@
         state.item_runs.add(run)
         run.task = self._spawn(self._run_item(entry, run, state))
         run.task.add_done_callback(
-            functools.partial(self._release_unstarted_run, run, state)
+            functools.partial(self._release_unstarted_run, entry, run, state)
         )
 
-    def _release_unstarted_run(self, run, state, task):
+    def _release_unstarted_run(self, entry, run, state, task):
         # A task that is cancelled before it first runs never reaches the
         # cleanup in _run_item.
         if run.task is task:
+            self.fair_order.note_end(entry, run, 0)
             state.item_runs.discard(run)
             run.task = None
             run.state = None
@@ -521,6 +532,8 @@
             state.item_runs.discard(run)
             run.task = None
             run.state = None
+            events = len(run.texts) - resumed_after
+            self.fair_order.note_end(entry, run, events)
             self.on_run_end(end, loop.time() - started)
             self._log.info(
                 'item run',
--- a/src/clementineline/coordination/tests/test_fairorder.py
+++ b/src/clementineline/coordination/tests/test_fairorder.py
@@ -150,7 +150,7 @@
                 if state is None:
                     left.append(run)
                     continue
-                state.item_runs.add(HashedRun(run))
+                state.item_runs.add(run)
                 run.state = state
                 run.started_at = run.first_started_at = self.now or TICK_S
                 self.order.note_start(entry, run, turn)
@@ -170,7 +170,7 @@
                     self.served.get(organisation, 0) + added * EVENT_TOKENS
                 )
                 if len(run.texts) * EVENT_TOKENS >= run.item.length_hint:
-                    run.state.item_runs.discard(HashedRun(run))
+                    run.state.item_runs.discard(run)
                     self.order.note_end(entry, run, len(run.texts))
                     del entry.runs[run.item.id]
             age_s = self.now - submission.accepted_at
@@ -190,7 +190,7 @@
         entry = self.entries.pop(name)
         for run in entry.runs.values():
             if run.state is not None:
-                run.state.item_runs.discard(HashedRun(run))
+                run.state.item_runs.discard(run)
                 self.order.note_end(entry, run, len(run.texts))
 
     def is_paid(self, name):
@@ -199,19 +199,6 @@
         return self.groups_in_time[name] >= 0.9 * wanted
 
 
-class HashedRun:
-    """An item run that an engine's set can hold."""
-
-    def __init__(self, run):
-        self.run = run
-
-    def __eq__(self, other):
-        return self.run is other.run
-
-    def __hash__(self):
-        return id(self.run)
-
-
 class TestLargeAndSmallOrganisations:
     """One organisation asks for as much as all engines serve in 40 s."""
 
