Assign engines to models within the shares of organisations

Cause: engines are assigned to models in proportion to work. Of trainers with a model each, all get the same part of what their steps need, so that with too few engines the steps of all organisations are late, small ones included. Change: where organisations are in force and the engines are not sufficient for the recent steps, the work of an organisation counts up to its share.

--- a/src/clementineline/coordination/tests/test_versions.py
+++ b/src/clementineline/coordination/tests/test_versions.py
@@ -6,6 +6,7 @@
 
 from clementineline.coordination import directory
 from clementineline.coordination import placement
+from clementineline.coordination.tests import test_fairorder
 from clementineline.coordination import versions
 from clementineline import errors
 from clementineline.state import directory as records
@@ -117,6 +118,40 @@
         assert updater.list_assigned('lm', 'm0') is None
 
 
+class TestOrganisations:
+    """Organisations with a model each, where the engines are not enough."""
+
+    @pytest.mark.parametrize(
+        ('in_force', 'shares'),
+        [(True, {'m0': 51, 'm1': 9}), (False, {'m0': 55, 'm1': 5})],
+    )
+    async def test_small_organisation_gets_the_engines_it_needs(
+        self, updater, engines, in_force, shares
+    ):
+        # Guards against shares by work alone, with which the steps of all
+        # organisations are late alike; and against others where the manifest
+        # has no organisations.
+        table = test_fairorder.build_table(in_force)
+        updater._get_routes = lambda: table
+        for state in engines.endpoints.values():
+            state.pace_s = 0.04
+        for model, tokens in (('m0', 900.0), ('m1', 90.0)):
+            # Eight engines generate 9,000 tokens until a step is due.
+            item = types.SimpleNamespace(length_hint=tokens, tokens=0)
+            updater.note_submission(
+                types.SimpleNamespace(
+                    model=model,
+                    organisation=model,
+                    route='r',
+                    version_min=1,
+                    items=[item] * 100,
+                )
+            )
+        assert {
+            model: len(names) for model, names in assign(updater).items()
+        } == shares
+
+
 class FakeTerm:
     """A term whose lease is acquired again during a wait."""
 
--- a/src/clementineline/coordination/versions.py
+++ b/src/clementineline/coordination/versions.py
@@ -9,8 +9,10 @@
 import math
 import statistics
 
+from clementineline.coordination import modelwork
 from clementineline.coordination import placement
 from clementineline.coordination import ratelimits
+from clementineline.coordination import stragglers
 from clementineline import errors
 from clementineline.protocol import links
 from clementineline.state import dialect as dialects
@@ -72,6 +74,7 @@
         '_item_counts',
         '_latest_reports',
         '_log',
+        '_model_work',
         '_on_change',
         '_pool',
         '_quiet_s',
@@ -121,6 +124,7 @@
         self._holder = holder
         self._term = term
         self._log = log
+        self._model_work = modelwork.ModelWork()
         self._requires_single_version = requires_single_version
         self._on_change = on_change
         self._pool = pool
@@ -235,15 +239,26 @@
             )
         return needed
 
-    def _estimate_work(self, models):
+    def _estimate_work(self, service, engines):
         """Estimate each model's work per step.
 
-        Models without submissions so far get the mean of the others.
+        Models without submissions so far get the mean of the others. Where
+        organisations are in force, their shares bound the work that counts.
         """
+        models = service.models
         known = {}
         for model in models:
             if self._work_samples.get(model):
                 known[model] = statistics.fmean(self._work_samples[model])
+        table = self._get_routes()
+        if table is not None and table.organisations is not None:
+            event_s = stragglers.find_typical_pace(engines.values())
+            capacity = None
+            if event_s is not None:
+                slots = sum(state.record.slots for state in engines.values())
+                capacity = slots * service.event_tokens / event_s
+            now = asyncio.get_running_loop().time()
+            known = self._model_work.estimate(models, capacity, now)
         mean = statistics.fmean(known.values()) if known else 1.0
         return {model: known.get(model, mean) for model in models}
 
@@ -258,6 +273,16 @@
         self._item_counts.setdefault(
             submission.model, collections.deque(maxlen=WORK_SAMPLES_MAX)
         ).append(len(submission.items))
+        table = self._get_routes()
+        if table is not None and table.organisations is not None:
+            route = table.find(submission.route)
+            self._model_work.note(
+                submission.model,
+                submission.organisation or '',
+                work,
+                route.due_s if route is not None else 0.0,
+                asyncio.get_running_loop().time(),
+            )
         target = self.target_versions.get(submission.model)
         if target is None:
             return
@@ -283,7 +308,7 @@
         else:
             shares = placement.share_engines(
                 len(engines),
-                self._estimate_work(service.models),
+                self._estimate_work(service, engines),
                 collections.Counter(previous.values()),
             )
         basis = (self._directory.changes, shares)
