Keep the arguments of the owner's start of items

Cause: test_path starts the items of one submission without a turn, which the change of the order broke. Change: the turn is optional.

--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -426,17 +426,17 @@
         for turn in self.fair_order.list(
             self.open_submissions.values(), now, time.time()
         ):
-            self._start_items(turn, now)
+            self._start_items(turn.entry, now, turn)
 
-    def _start_items(self, turn, now):
-        entry = turn.entry
+    def _start_items(self, entry, now, turn=None):
         submission = entry.submission
         still_waiting = []
         # By the identity of the list of engines, which is kept as well so that
         # no other list gets the same one.
         shortlists = {}
         for run in entry.waiting:
-            if now < run.not_before or not turn.allows(run):
+            allowed = turn is None or turn.allows(run)
+            if now < run.not_before or not allowed:
                 still_waiting.append(run)
                 continue
             state = self._choose_engine(submission, run, now, shortlists)
