Tell refused callers of organisations when endpoints have room

Cause: callers whose calls no endpoint had room for were all asked to return after 0.1 s, and met again at endpoints that were still full. Change: where organisations are in force, the delay follows from the queues and the calls that endpoints report and from how long calls stayed there. A gateway lets its callers return one after the other, at most after a third of the time that they have left.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from clementineline.coordination import draining
 from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.protocol import verdicts
@@ -13,6 +14,7 @@
     'choose_endpoint',
     'choose_service',
     'choose_verdict',
+    'delay_return',
 ]
 
 RESPONSE_MAX_BYTES = 32 * 1024 * 1024
@@ -120,6 +122,25 @@
     return last
 
 
+def delay_return(verdict, drains, directory, service, deadline):
+    """Replace the delay of a refusal for want of room.
+
+    :param verdict: the verdict that the caller gets
+    :param drains: the :class:`~draining.DrainEstimator`
+    :param directory: the :class:`~directory.Directory`
+    :param service: name of the service
+    :param deadline: loop time at which the caller gives up, in seconds
+    :returns: a verdict
+    """
+    if not isinstance(verdict, verdicts.NotRun) or not verdict.no_room:
+        return verdict
+    now = asyncio.get_running_loop().time()
+    delay_s = drains.choose_delay(
+        service, directory.list_usable(service), now, deadline - now
+    )
+    return dataclasses.replace(verdict, retry_after_s=delay_s)
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempts:
     """A call, its service and the endpoints that it was sent to.
@@ -156,6 +177,7 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar drains: the :class:`~draining.DrainEstimator` of the services
     """
 
     __slots__ = (
@@ -165,6 +187,7 @@
         '_log',
         '_pool',
         '_zone',
+        'drains',
     )
 
     def __init__(self, directory, pool, dialect, zone, crash_record, log):
@@ -174,6 +197,7 @@
         self._dialect = dialect
         self._zone = zone
         self._log = log
+        self.drains = draining.DrainEstimator()
 
     async def forward(
         self,
@@ -211,10 +235,15 @@
         )
         pending = set()
         try:
-            return await self._run_attempts(attempts, pending)
+            verdict = await self._run_attempts(attempts, pending)
         finally:
             for task in pending:
                 task.cancel()
+        if organisation is None:
+            return verdict
+        return delay_return(
+            verdict, self.drains, self._directory, service, deadline
+        )
 
     async def _run_attempts(self, attempts, pending):
         loop = asyncio.get_running_loop()
@@ -321,6 +350,7 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
+            self.drains.note_answer(attempts.service, loop.time() - started)
             self._crash_record.clear(
                 attempts.head, attempts.body, attempts.request_id
             )
@@ -376,7 +406,9 @@
         self._pool.release(state, client)
         if facts.not_run or reply.status_code == 421:
             return verdicts.NotRun(
-                f'endpoint refused with {reply.status_code}', RETRY_AFTER_S
+                f'endpoint refused with {reply.status_code}',
+                RETRY_AFTER_S,
+                reply.status_code != 421 and not facts.leaving,
             )
         if not facts.signed and reply.status_code < 300:
             return verdicts.MayHaveRun('response without a signature')
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 
+from clementineline.coordination import draining
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
 from clementineline import errors
@@ -74,6 +75,7 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar drains: the :class:`~draining.DrainEstimator` of the services
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         '_log',
         '_pool',
         '_zone',
+        'drains',
     )
 
     def __init__(self, directory, pool, dialect, zone, crash_record, log):
@@ -92,6 +95,7 @@
         self._log = log
         self._pool = pool
         self._zone = zone
+        self.drains = draining.DrainEstimator()
 
     async def forward(
         self, route, incoming, facts, deadline, organisation=None
@@ -129,10 +133,13 @@
             if state is None:
                 break
             stream.tried.append(state.id)
+            started = asyncio.get_running_loop().time()
             verdict = await self._attempt(
                 route, state, stream, incoming, deadline
             )
             if isinstance(verdict, verdicts.Answered):
+                took_s = asyncio.get_running_loop().time() - started
+                self.drains.note_answer(service, took_s)
                 return verdict
             last = forwarding.choose_verdict(last, verdict)
             if (
@@ -144,9 +151,14 @@
                 break
         if stream.head_sent:
             incoming.abort()
-        return last or verdicts.NotRun(
+        verdict = last or verdicts.NotRun(
             'no endpoint is known', forwarding.RETRY_AFTER_S
         )
+        if organisation is None:
+            return verdict
+        return forwarding.delay_return(
+            verdict, self.drains, self._directory, service, deadline
+        )
 
     async def _attempt(self, route, state, stream, incoming, deadline):
         loop = asyncio.get_running_loop()
@@ -263,7 +275,9 @@
         """Return the verdict of a response that is not a stream."""
         if facts.not_run or status == 421:
             return verdicts.NotRun(
-                f'endpoint refused with {status}', forwarding.RETRY_AFTER_S
+                f'endpoint refused with {status}',
+                forwarding.RETRY_AFTER_S,
+                status != 421 and not facts.leaving,
             )
         matches = facts.request_id == incoming.request_id
         if stream.head_sent or not matches or status < 300:
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -73,6 +73,7 @@
             self._crash_record,
             log,
         )
+        self._stream_forwarder.drains = self._call_forwarder.drains
         self._leader_client = leaders.LeaderClient(store, log)
         # Ids of ended submissions, so that a repeated end needs no write.
         self._ended = collections.OrderedDict()
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -125,7 +125,9 @@
             )
             return server
 
-        async def forward(self, route, limit_s=0.8, request_id='r1'):
+        async def forward(
+            self, route, limit_s=0.8, request_id='r1', organisation=None
+        ):
             head = http.Head(
                 b'POST',
                 b'/live/x',
@@ -136,7 +138,12 @@
             )
             loop = asyncio.get_running_loop()
             return await self.forwarder.forward(
-                route, head, b'q', request_id, loop.time() + limit_s
+                route,
+                head,
+                b'q',
+                request_id,
+                loop.time() + limit_s,
+                organisation=organisation,
             )
 
         @property
@@ -166,6 +173,28 @@
         assert forwarding_setup.runs == [0, 6]
         assert len({run[0] for run in second.runs}) == 6
 
+    async def test_callers_without_room_return_one_after_the_other(
+        self, forwarding_setup
+    ):
+        # Guards against refused callers that all return after 0.1 s, and
+        # against other delays where organisations are not in force.
+        server = await forwarding_setup.start('a')
+        server.delay_s = 0.3
+        await forwarding_setup.forward(build_route(), organisation='o')
+        server.shed = True
+        delays = []
+        for _ in range(4):
+            verdict = await forwarding_setup.forward(
+                build_route(), limit_s=6.0, organisation='o'
+            )
+            assert verdict.no_room
+            delays.append(verdict.retry_after_s)
+        for first, second in zip(delays, delays[2:]):
+            assert second > first + 0.2
+        assert max(delays) <= 2.0
+        verdict = await forwarding_setup.forward(build_route(), limit_s=6.0)
+        assert verdict.retry_after_s == 0.1
+
     async def test_lost_response_is_final_unless_the_call_is_idempotent(
         self, forwarding_setup
     ):
--- a/src/clementineline/protocol/verdicts.py
+++ b/src/clementineline/protocol/verdicts.py
@@ -28,10 +28,12 @@
 
     :param reason: why the attempt was refused
     :param retry_after_s: recommended delay before another attempt, in seconds
+    :param no_room: whether an endpoint refused it, as one without room does
     """
 
     reason: str
     retry_after_s: float = 1.0
+    no_room: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
