Metrics of organisations: served and waiting work, refusals by reason

Cause: nothing showed which organisation is served and which one waits. Change: gateways count live calls by organisation and outcome, and refusals by reason; the leader counts tokens by organisation and states those that wait. At most 100 organisations have label values of their own.

--- a/src/clementineline/coordination/fairorder.py
+++ b/src/clementineline/coordination/fairorder.py
@@ -85,8 +85,8 @@
     :param list_engines: function from a submission to the engines that may
         run its items
     :param log: logger
-    :ivar on_served: called with an organisation and the tokens by which its
-        served work has changed
+    :ivar on_served: called with an organisation and the tokens that a run of
+        it generated
     :ivar waiting: dict from organisation to the tokens that wait, as of the
         last ranking
     """
@@ -302,7 +302,6 @@
         self._queue.charge(name, tokens, floor)
         if floor:
             turn.tokens -= tokens
-        self.on_served(name, tokens)
 
     def note_end(self, entry, run, events):
         """Replace the charge of a run by what it generated.
@@ -315,7 +314,7 @@
         name = get_organisation(entry.submission)
         used = max(0, events) * self._get_event_tokens(entry)
         self._queue.correct(name, used - charged)
-        self.on_served(name, used - charged)
+        self.on_served(name, used)
 
 
 def get_organisation(submission):
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -16,6 +16,7 @@
 from clementineline.coordination import stopping
 from clementineline.coordination import streaming
 from clementineline.daemons import base
+from clementineline.daemons import metrics as metrics_module
 from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.state import dialect as dialects
@@ -75,6 +76,7 @@
             log,
         )
         self._stream_forwarder.drains = self._call_forwarder.drains
+        self._organisation_labels = metrics_module.LabelLimiter()
         self._leader_client = leaders.LeaderClient(store, log)
         self._authorizer = authorization.Authorizer(
             self._route_watcher,
@@ -243,6 +245,7 @@
         deadline = incoming.arrived_at + limit_s
         refusal = self._find_stop_refusal(route, deadline)
         if refusal:
+            self._count_live_refusal('stopping', organisation)
             self._refuse(incoming, facts, 503, refusal, STOPPING_RETRY_AFTER_S)
             return
         if route.streamed:
@@ -265,6 +268,7 @@
             headers = http.strip_connection_headers(verdict.headers)
             incoming.respond(verdict.status, headers, verdict.body)
             self._count_request(route, 'answered', took_s)
+            self._count_organisation(organisation, 'answered')
             self._log.info(
                 'answered',
                 request=facts.request_id,
@@ -282,12 +286,16 @@
                 reason=verdict.reason,
                 took_ms=round(took_s * 1000),
             )
+            self._count_organisation(organisation, 'aborted')
             return
         if isinstance(verdict, verdicts.NotRun):
+            reason = 'no_room' if verdict.no_room else 'not_run'
+            self._count_live_refusal(reason, organisation)
             self._refuse(
                 incoming, facts, 503, verdict.reason, verdict.retry_after_s
             )
             return
+        self._count_organisation(organisation, 'failed')
         status = 504 if took_s >= limit_s else 502
         self._refuse(incoming, facts, status, verdict.reason)
 
@@ -302,6 +310,20 @@
         self.metrics.count('requests_total', route=route.name, outcome=outcome)
         self.metrics.observe('request_seconds', took_s, route=route.name)
 
+    def _count_organisation(self, organisation, outcome):
+        if organisation is None:
+            return
+        self.metrics.count(
+            'organisation_requests_total',
+            organisation=self._organisation_labels.get(organisation),
+            outcome=outcome,
+        )
+
+    def _count_live_refusal(self, reason, organisation):
+        """Count a refusal, which must be one of a few reasons."""
+        self.metrics.count('live_refusals_total', reason=reason)
+        self._count_organisation(organisation, reason)
+
     # Submissions.
 
     async def _submit(self, incoming, facts, access):
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -19,6 +19,7 @@
 from clementineline.coordination import texts
 from clementineline.coordination import versions
 from clementineline.daemons import base
+from clementineline.daemons import metrics
 from clementineline import errors
 from clementineline.state import questions
 from clementineline.state import textlog
@@ -96,15 +97,34 @@
         self._version_updater = None
         self._leader_tasks = []
         self._retiring = set()
+        self._organisation_labels = metrics.LabelLimiter()
+        # Labels whose waiting work was set.
+        self._waiting_labels = set()
 
     def _collect_metrics(self, process_metrics):
         super()._collect_metrics(process_metrics)
         process_metrics.set('leads', int(self._may_lead()))
+        self._collect_waiting(process_metrics)
         if self._text_log is not None:
             process_metrics.set('text_log_bytes', self._text_log.written_bytes)
             process_metrics.set('text_log_dropped', self._text_log.dropped)
             process_metrics.set('text_log_failures', self._text_log.failures)
 
+    def _collect_waiting(self, process_metrics):
+        """Set the waiting work of each organisation, 0 for those without."""
+        waiting = dict.fromkeys(self._waiting_labels, 0.0)
+        if self._owner is not None:
+            for name, tokens in self._owner.fair_order.waiting.items():
+                label = self._organisation_labels.get(name)
+                waiting[label] = waiting.get(label, 0.0) + tokens
+        self._waiting_labels.update(waiting)
+        for label, tokens in waiting.items():
+            process_metrics.set(
+                'organisation_tokens_waiting',
+                round(tokens),
+                organisation=label,
+            )
+
     def _list_recent_texts(self):
         return self._text_cache.list_recent(textlog.FILE_BYTES_MAX // 2)
 
@@ -253,6 +273,7 @@
         )
         owner.on_submission = version_updater.note_submission
         owner.on_run_end = self._count_run
+        owner.fair_order.on_served = self._count_served
         owner.on_outdated_routes = self._route_watcher.refresh
         self._limits.on_permit = owner.wake
         owner.writer.on_recorded = self._count_recorded
@@ -281,6 +302,13 @@
         self.metrics.count('item_runs_total', end=end)
         self.metrics.observe('item_run_seconds', took_s)
 
+    def _count_served(self, organisation, tokens):
+        self.metrics.count(
+            'organisation_tokens_total',
+            tokens,
+            organisation=self._organisation_labels.get(organisation),
+        )
+
     def _count_recorded(self, count):
         self.metrics.count('results_recorded_total', count)
 
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -11,10 +11,12 @@
 from clementineline.transport import frames
 from clementineline.transport import http
 
-__all__ = ['Metrics']
+__all__ = ['LabelLimiter', 'Metrics']
 
 LOAD_DELAY_S = 3.0
 PENDING_UPDATES_MAX = 20_000
+# Most organisations that have label values of their own.
+ORGANISATIONS_MAX = 100
 METRICS_PATH = b'/metrics'
 LATENCY_BUCKETS_S = (
     0.01,
@@ -39,6 +41,10 @@
     'request_seconds': 'From the whole request to the answer.',
     'attempts_total': 'Live calls sent to endpoints, by verdict.',
     'attempt_seconds': 'From the send of a live call to its verdict.',
+    'live_refusals_total': 'Live calls that were refused, by reason.',
+    'organisation_requests_total': 'Live calls by organisation and outcome.',
+    'organisation_tokens_total': 'Tokens of items by organisation.',
+    'organisation_tokens_waiting': 'Tokens that wait, by organisation.',
     'submissions_total': 'Calls about submissions, by verb and status.',
     'item_runs_total': 'Runs of items, by end.',
     'item_run_seconds': 'From the start of an item run to its end.',
@@ -63,6 +69,29 @@
 }
 
 
+class LabelLimiter:
+    """Bounds the values of a label, as each one stays until the process ends.
+
+    :param limit: number of values; later ones are counted as ``other``
+    """
+
+    __slots__ = ('_known', '_limit')
+
+    def __init__(self, limit=ORGANISATIONS_MAX):
+        self._known = set()
+        self._limit = limit
+
+    def get(self, name):
+        """Return the label value for a name, ``none`` for an empty one."""
+        if not name:
+            return 'none'
+        if name not in self._known:
+            if len(self._known) >= self._limit:
+                return 'other'
+            self._known.add(name)
+        return name
+
+
 class Metrics:
     """Counters, histograms and gauges of a process.
 
--- a/src/clementineline/daemons/tests/test_metrics.py
+++ b/src/clementineline/daemons/tests/test_metrics.py
@@ -50,3 +50,12 @@
         client.close()
         assert reply.status_code == 200
         assert b'clementineline_orders_total{outcome="accepted"} 1' in body
+
+
+class TestLabelLimiter:
+    def test_number_of_values_is_bounded(self):
+        # Guards against metrics that grow with the names in manifests.
+        limiter = metrics.LabelLimiter(2)
+        names = ['a', 'b', 'c', 'a', '']
+        found = [limiter.get(name) for name in names]
+        assert found == ['a', 'b', 'other', 'a', 'none']
