Keep idle connections for as long as endpoints announce, if asked to

Cause: idle connections to endpoints are closed after 4 s, so that a gateway with a low rate of calls opens a connection for almost each. Change: with the setting keep_alive "announced", one connection to each endpoint stays for the announced time less a second, for requests that may run again, and endpoints with an idle connection are preferred among those of equal load. The default is as before.

--- a/src/clementineline/coordination/connections.py
+++ b/src/clementineline/coordination/connections.py
@@ -13,6 +13,12 @@
 # below the shortest announced one, so that an endpoint rarely closes a
 # connection while a request is being sent on it.
 IDLE_TIMEOUT_S = 4.0
+# Subtracted from an announced timeout, which is in whole seconds and begins
+# at the endpoint before its response arrives here.
+ANNOUNCED_MARGIN_S = 1.0
+# Longest use of an announced timeout. A path that drops idle connections
+# without notice does so after a minute or more.
+ANNOUNCED_MAX_S = 60.0
 # Share of the connections that an endpoint accepts from all callers. Not used:
 # the pool does not limit the number of open connections.
 SHARE_OF_MAX = 0.1
@@ -37,13 +43,19 @@
         leaves, the purpose of the request, and whether another endpoint at its
         address may have answered
     :ivar opened: number of connections opened so far
+    :ivar announced: whether connections are kept for as long as endpoints
+        announce
+    :ivar may_keep: function from the id of an endpoint to whether a connection
+        to it may be idle for longer than ``IDLE_TIMEOUT_S``
     """
 
     __slots__ = (
         '_idle',
         '_limits',
         '_read_reply',
+        'announced',
         'budget',
+        'may_keep',
         'on_leaving',
         'opened',
     )
@@ -55,21 +67,26 @@
         self._read_reply = read_reply
         self.on_leaving = lambda state, purpose, another: None
         self.opened = 0
+        self.announced = False
+        self.may_keep = lambda endpoint_id: True
 
-    async def acquire(self, state, purpose, wait_s=0.0):
+    async def acquire(self, state, purpose, wait_s=0.0, repeatable=False):
         """Return a connection to an endpoint for one request.
 
         :param state: the :class:`~directory.EndpointState`
         :param purpose: one of :class:`~ratelimits.Purpose`
         :param wait_s: how long the request may wait for its turn if the
             endpoint names a limit, in seconds
+        :param repeatable: whether the request may run again if the connection
+            is reset before a response; only such a request is sent on a
+            connection that was idle for longer than ``IDLE_TIMEOUT_S``
         :raises errors.ConnectionLost: if the endpoint does not accept a
             connection, or leaves
         :raises errors.LimitReached: if the request would exceed the limit
             that the endpoint names
         """
         await self._limits.admit(state, purpose, wait_s)
-        client = await self._connect(state)
+        client = await self._connect(state, repeatable)
         # It may have said so since it was chosen.
         if state.leaving:
             client.close()
@@ -84,15 +101,31 @@
         if facts.leaving:
             self.on_leaving(state, purpose, response.status_code == 421)
 
-    async def _connect(self, state):
+    def has_idle(self, state):
+        """Return whether an endpoint has an idle connection to prefer it for.
+
+        Always false unless announced timeouts are used.
+        """
+        return self.announced and bool(self._idle.get(state.id))
+
+    def _is_fresh(self, client, now):
+        limit_s = client.idle_limit_s or IDLE_TIMEOUT_S
+        return client.reusable and now - client.used_at < limit_s
+
+    async def _connect(self, state, repeatable):
         """Return an idle connection to an endpoint, or open one."""
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(state.id, [])
         while idle:
             client = idle.pop()
-            if client.reusable and now - client.used_at < IDLE_TIMEOUT_S:
-                return client
-            client.close()
+            if not self._is_fresh(client, now):
+                client.close()
+                continue
+            if not repeatable and now - client.used_at >= IDLE_TIMEOUT_S:
+                # The others have been idle for longer.
+                idle.append(client)
+                break
+            return client
         self.opened += 1
         return await outgoing.connect(state.address, CONNECT_TIMEOUT_S)
 
@@ -129,6 +162,12 @@
         ):
             client.close()
             return
+        if self.announced and reply is not None:
+            timeout_s = http.read_idle_timeout(reply.headers) or 0
+            client.idle_limit_s = max(
+                IDLE_TIMEOUT_S,
+                min(timeout_s - ANNOUNCED_MARGIN_S, ANNOUNCED_MAX_S),
+            )
         idle.append(client)
 
     async def exchange(self, state, client, head, body=b''):
@@ -168,12 +207,18 @@
         now = asyncio.get_running_loop().time()
         for endpoint_id, idle in list(self._idle.items()):
             kept = []
-            for client in idle:
-                fresh = now - client.used_at < IDLE_TIMEOUT_S
-                if endpoint_id in known and client.reusable and fresh:
+            # One connection to each endpoint saves most new ones where calls
+            # are rare, and endpoints accept a limited number from everybody.
+            may_keep = self.may_keep(endpoint_id)
+            for client in reversed(idle):
+                keep = endpoint_id in known and self._is_fresh(client, now)
+                if keep and now - client.used_at >= IDLE_TIMEOUT_S:
+                    keep = may_keep and not kept
+                if keep:
                     kept.append(client)
                     continue
                 client.close()
+            kept.reverse()
             self._idle[endpoint_id] = kept
             if not kept:
                 del self._idle[endpoint_id]
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -62,7 +62,9 @@
     return targets[-1].service
 
 
-def choose_endpoint(candidates, tried, zone, now, unlimited=False):
+def choose_endpoint(
+    candidates, tried, zone, now, unlimited=False, has_idle=None
+):
     """Choose the endpoint with the lowest estimated load.
 
     Endpoints that are in backoff after a failure come last. An endpoint that
@@ -74,6 +76,8 @@
     :param zone: availability zone of this process
     :param now: loop time, in seconds
     :param unlimited: whether only an endpoint without a limit is chosen
+    :param has_idle: function from an endpoint to whether there is an idle
+        connection to it, which decides among those of equal load; or None
     :returns: an :class:`~directory.EndpointState`, or None
     """
     best = None
@@ -95,6 +99,7 @@
         score = (
             in_backoff,
             load + 0.3 * (state.slowness - 1.0),
+            has_idle is not None and not has_idle(state),
             random.random(),
         )
         if best is None or score < best_score:
@@ -308,6 +313,7 @@
             self._zone,
             now,
             unlimited=hedge or len(attempts.refused) >= LIMIT_REFUSALS_MAX,
+            has_idle=self._pool.has_idle,
         )
         if state is None:
             return None
@@ -362,7 +368,12 @@
         loop = asyncio.get_running_loop()
         wait_s = attempts.route.aim_s * PERMIT_WAIT_SHARE
         try:
-            client = await self._pool.acquire(state, attempts.purpose, wait_s)
+            client = await self._pool.acquire(
+                state,
+                attempts.purpose,
+                wait_s,
+                repeatable=attempts.route.idempotent,
+            )
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), RETRY_AFTER_S)
         complete = False
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -129,6 +129,7 @@
                 self._zone,
                 asyncio.get_running_loop().time(),
                 unlimited=refusals >= forwarding.LIMIT_REFUSALS_MAX,
+                has_idle=self._pool.has_idle,
             )
             if state is None:
                 break
@@ -211,6 +212,7 @@
                 state,
                 ratelimits.Purpose.STREAM,
                 route.aim_s * forwarding.PERMIT_WAIT_SHARE,
+                repeatable=route.resumable,
             )
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -103,6 +103,8 @@
         )
         self._crash_record.on_ended = self._handle_ended_instances
         self._pool.on_leaving = self._directory.mark_leaving
+        self._pool.announced = settings.keep_alive == 'announced'
+        self._pool.may_keep = self._may_keep_idle
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
             {'process': settings.name}, self._collect_metrics
@@ -210,6 +212,22 @@
     def _handle_new_routes(self):
         """Handle a new route table; does nothing by default."""
 
+    def _may_keep_idle(self, endpoint_id):
+        """Return whether a connection may be idle for an announced time.
+
+        If each process has one, they take at most half of those that the
+        endpoint accepts.
+        """
+        state = self._directory.endpoints.get(endpoint_id)
+        table = self._routes.table
+        if state is None or table is None:
+            return False
+        service = table.services.get(state.record.service)
+        if service is None or not service.connections_max:
+            return service is not None
+        processes = len(self._members.addresses) + 1
+        return processes <= service.connections_max / 2
+
     async def _clean_up(self):
         """Remove expired endpoints and close idle connections, repeatedly."""
         while True:
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -1,5 +1,7 @@
 """Loads process settings from the platform's settings file."""
 
+import typing
+
 import msgspec
 
 from clementineline import errors
@@ -72,6 +74,10 @@
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # How long idle connections to endpoints are kept.
+    keep_alive: typing.Literal['fixed', 'announced'] = msgspec.field(
+        default='fixed', name='keep_alive'
+    )
 
 
 def _load(path):
@@ -122,6 +128,7 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        keep_alive=boot.keep_alive,
         access=settings.AccessSettings(
             fail_closed=boot.bounds.fail_closed,
             revoke_s=boot.bounds.revoke_ms / 1000,
@@ -154,4 +161,5 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        keep_alive=boot.keep_alive,
     )
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -263,6 +263,8 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param keep_alive: ``announced`` if idle connections are kept for as long
+        as endpoints announce, ``fixed`` for a time that suits all
     :param access: what it does while it cannot confirm its route table
     """
 
@@ -277,6 +279,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
     access: AccessSettings = AccessSettings()
 
 
@@ -296,6 +299,8 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param keep_alive: ``announced`` if idle connections are kept for as long
+        as endpoints announce, ``fixed`` for a time that suits all
     """
 
     name: Name
@@ -309,6 +314,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
 
 
 def _check_addresses(value, where):
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -12,6 +12,7 @@
 
 from clementineline import errors
 from clementineline.transport import channels
+from clementineline.transport import numbers
 
 __all__ = [
     'Head',
@@ -112,6 +113,21 @@
     return None
 
 
+def read_idle_timeout(headers):
+    """Return how long the sender keeps an idle connection, in seconds.
+
+    :param headers: pairs of bytes
+    :returns: the ``timeout`` of the header ``Keep-Alive``; None if it is
+        missing or not a number of whole seconds
+    """
+    value = find_header(headers, b'keep-alive') or b''
+    for part in value.split(b','):
+        name, _, seconds = part.partition(b'=')
+        if name.strip().lower() == b'timeout':
+            return numbers.read_integer(seconds.strip())
+    return None
+
+
 def strip_connection_headers(headers):
     """Return the headers without those that concern one connection only.
 
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -18,6 +18,8 @@
     :param channel: the open :class:`~channels.Channel`
     :ivar budget: the :class:`~buffers.BufferBudget` that bodies count
         towards, or None
+    :ivar idle_limit_s: how long the endpoint is expected to keep it while it
+        is idle, in seconds; None if that is not known
     :ivar on_response: called with the head of each response
     :ivar response: head of the last response, or None
     :ivar used_at: loop time at which the connection was opened or the last
@@ -28,6 +30,7 @@
         '_channel',
         '_protocol',
         'budget',
+        'idle_limit_s',
         'on_response',
         'response',
         'used_at',
@@ -39,6 +42,7 @@
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_MAX_BYTES
         )
         self.budget = None
+        self.idle_limit_s = None
         self.on_response = lambda response: None
         self.response = None
         self.used_at = asyncio.get_running_loop().time()
