Count engines that load a version as capacity for steps

Cause: while engines loaded a new version, the rate of the others made steps late, which then started whole groups first and stayed in that order. The last items of such a step start later than they need to. Change: engines that load count, and a submission that can be in time again returns to the order by length.

--- a/src/clementineline/coordination/fairorder.py
+++ b/src/clementineline/coordination/fairorder.py
@@ -204,6 +204,10 @@
             known = self._standings.get(claim.key, fairness.Standing.IN_TIME)
             if standing is not known:
                 self._log_standing(claim, standing, rates, unix_now)
+                if standing is fairness.Standing.IN_TIME:
+                    # It was in the order of a late one.
+                    entry = entries[claim.key]
+                    entry.waiting = placement.sort_waiting_runs(entry.waiting)
         self._standings = {claim.key: held for claim, held in ranked}
         return _build_turns(ranked, entries, works)
 
@@ -277,9 +281,13 @@
         """
         engines = []
         for state in self._list_engines(submission):
-            if now >= state.backoff_until and placement.can_run(
+            if now < state.backoff_until:
+                continue
+            # An engine that loads is back long before a step is due.
+            loading = submission.model in state.loading_models
+            if placement.can_run(
                 state, submission.model, submission.version_min
-            ):
+            ) or (loading and not state.leaving):
                 engines.append(state)
         event_s = stragglers.find_typical_pace(engines)
         service = self._get_service(submission)
--- a/src/clementineline/coordination/tests/test_fairorder.py
+++ b/src/clementineline/coordination/tests/test_fairorder.py
@@ -321,6 +321,38 @@
         assert counts[1] > counts[0]
 
 
+class TestLoadingEngines:
+    """Engines that load a version are back within a second or two."""
+
+    @staticmethod
+    def list_waiting(play, name):
+        play.order.list(play.entries.values(), play.now, play.now)
+        waiting = play.entries[name].waiting
+        return [run.item.length_hint for run in waiting]
+
+    def test_step_is_not_late_because_engines_load(self):
+        # Guards against steps that lose their turn at each new version.
+        play = Play(True)
+        step = play.submit('a', groups=12, tokens=(500, 400, 300))
+        for state in play.engines[1:]:
+            state.versions['m0'] = 0
+            state.loading_models.add('m0')
+        waiting = self.list_waiting(play, step)
+        assert waiting == sorted(waiting, reverse=True)
+
+    def test_longest_items_start_first_again(self):
+        # Guards against a step that stays in the order of a late one.
+        play = Play(True)
+        step = play.submit('a', groups=12, tokens=(500, 400, 300))
+        for state in play.engines[1:]:
+            state.backoff_until = 0.5
+        waiting = self.list_waiting(play, step)
+        assert waiting != sorted(waiting, reverse=True)
+        play.now = 1.0
+        waiting = self.list_waiting(play, step)
+        assert waiting == sorted(waiting, reverse=True)
+
+
 class TestIdleRoom:
     def test_one_organisation_uses_all_slots(self):
         # Guards against shares that are kept for organisations without work.
