--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from clementineline.coordination import draining
 from clementineline.coordination import ratelimits
 from clementineline.coordination import usage
 from clementineline import errors
@@ -14,6 +15,7 @@
     'choose_endpoint',
     'choose_service',
     'choose_verdict',
+    'delay_return',
 ]
 
 RESPONSE_MAX_BYTES = 32 * 1024 * 1024
@@ -61,7 +63,9 @@
     return targets[-1].service
 
 
-def choose_endpoint(candidates, tried, zone, now, unlimited=False):
+def choose_endpoint(
+    candidates, tried, zone, now, unlimited=False, has_idle=None
+):
     """Choose the endpoint with the lowest estimated load.
 
     Endpoints that are in backoff after a failure come last. An endpoint that
@@ -73,6 +77,8 @@
     :param zone: availability zone of this process
     :param now: loop time, in seconds
     :param unlimited: whether only an endpoint without a limit is chosen
+    :param has_idle: function from an endpoint to whether there is an idle
+        connection to it, which decides among those of equal load; or None
     :returns: an :class:`~directory.EndpointState`, or None
     """
     best = None
@@ -94,6 +100,7 @@
         score = (
             in_backoff,
             load + 0.3 * (state.slowness - 1.0),
+            has_idle is not None and not has_idle(state),
             random.random(),
         )
         if best is None or score < best_score:
@@ -121,6 +128,25 @@
     return last
 
 
+def delay_return(verdict, drains, directory, service, deadline):
+    """Replace the delay of a refusal for want of room.
+
+    :param verdict: the verdict that the caller gets
+    :param drains: the :class:`~draining.DrainEstimator`
+    :param directory: the :class:`~directory.Directory`
+    :param service: name of the service
+    :param deadline: loop time at which the caller gives up, in seconds
+    :returns: a verdict
+    """
+    if not isinstance(verdict, verdicts.NotRun) or not verdict.no_room:
+        return verdict
+    now = asyncio.get_running_loop().time()
+    delay_s = drains.choose_delay(
+        service, directory.list_usable(service), now, deadline - now
+    )
+    return dataclasses.replace(verdict, retry_after_s=delay_s)
+
+
 @dataclasses.dataclass(slots=True)
 class _Attempts:
     """A call, its service and the endpoints that it was sent to.
@@ -157,6 +183,7 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar drains: the :class:`~draining.DrainEstimator` of the services
     :ivar on_attempt_began: called once for each attempt that an endpoint
         began, with the call's organisation and the Unix time at which it was
         sent, in seconds; None for no calls
@@ -169,6 +196,7 @@
         '_log',
         '_pool',
         '_zone',
+        'drains',
         'on_attempt_began',
     )
 
@@ -180,6 +208,7 @@
         self._zone = zone
         self._log = log
         self.on_attempt_began = None
+        self.drains = draining.DrainEstimator()
 
     async def forward(
         self,
@@ -217,10 +246,15 @@
         )
         pending = set()
         try:
-            return await self._run_attempts(attempts, pending)
+            verdict = await self._run_attempts(attempts, pending)
         finally:
             for task in pending:
                 task.cancel()
+        if organisation is None:
+            return verdict
+        return delay_return(
+            verdict, self.drains, self._directory, service, deadline
+        )
 
     async def _run_attempts(self, attempts, pending):
         loop = asyncio.get_running_loop()
@@ -285,6 +319,7 @@
             self._zone,
             now,
             unlimited=hedge or len(attempts.refused) >= LIMIT_REFUSALS_MAX,
+            has_idle=self._pool.has_idle,
         )
         if state is None:
             return None
@@ -331,6 +366,7 @@
             )
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
+            self.drains.note_answer(attempts.service, loop.time() - started)
             self._crash_record.clear(
                 attempts.head, attempts.body, attempts.request_id
             )
@@ -339,10 +375,28 @@
         return verdict
 
     async def _exchange(self, attempts, state, notice):
+        verdict = await self._exchange_once(attempts, state, notice, False)
+        if verdict is None:
+            verdict = await self._exchange_once(attempts, state, notice, True)
+        return verdict
+
+    async def _exchange_once(self, attempts, state, notice, fresh):
+        """Send the call on one connection.
+
+        :param fresh: whether a new connection is opened in any case
+        :returns: a verdict; None if the endpoint had dropped the connection,
+            which says nothing about the endpoint
+        """
         loop = asyncio.get_running_loop()
         wait_s = attempts.route.aim_s * PERMIT_WAIT_SHARE
         try:
-            client = await self._pool.acquire(state, attempts.purpose, wait_s)
+            client = await self._pool.acquire(
+                state,
+                attempts.purpose,
+                wait_s,
+                repeatable=attempts.route.idempotent,
+                fresh=fresh,
+            )
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), RETRY_AFTER_S)
         complete = False
@@ -362,6 +416,8 @@
             body = await client.receive_body(RESPONSE_MAX_BYTES)
             complete = True
         except errors.ProtocolError as error:
+            if client.was_dropped:
+                return None
             if await self._pool.has_ended(state):
                 self._crash_record.note(
                     attempts.head, attempts.body, attempts.request_id, state
@@ -387,7 +443,9 @@
         self._pool.release(state, client)
         if facts.not_run or reply.status_code == 421:
             return verdicts.NotRun(
-                f'endpoint refused with {reply.status_code}', RETRY_AFTER_S
+                f'endpoint refused with {reply.status_code}',
+                RETRY_AFTER_S,
+                reply.status_code != 421 and not facts.leaving,
             )
         if not facts.signed and reply.status_code < 300:
             return verdicts.MayHaveRun('response without a signature')
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -56,6 +56,8 @@
     :param versions: versions that generated them, in order of first use
     :param whole: whether ``texts`` holds the item's complete text
     :param failures: number of runs that the engine answered as failed
+    :param charged: tokens that its organisation was charged with for the run,
+        or None
     :param not_before: earliest loop time of the next run, in seconds
     :param avoid: ids of engines that refused or failed it, or were too slow
     :param moves: how often it left an engine that stayed slow
@@ -82,6 +84,7 @@
     whole: bool = False
     failures: int = 0
     impossible: int = 0
+    charged: float | None = None
     not_before: float = 0.0
     avoid: set = dataclasses.field(default_factory=set)
     moves: int = 0
@@ -140,8 +143,29 @@
         for none; None if organisations are not in force
     :returns: ``(end, reason)`` with the end one of :class:`RunEnd`
     """
+    fresh = False
+    while True:
+        outcome = await _run_on_connection(
+            submission, run, state, pool, dialect, organisation, fresh
+        )
+        if outcome is not None:
+            return outcome
+        fresh = True
+
+
+async def _run_on_connection(
+    submission, run, state, pool, dialect, organisation, fresh
+):
+    """Run an item; the parameters are those of :func:`run_item`.
+
+    :param fresh: whether a new connection is opened in any case
+    :returns: as :func:`run_item`; None if the endpoint had dropped the
+        connection, which says nothing about the endpoint
+    """
     try:
-        client = await pool.acquire(state, ratelimits.Purpose.ITEM)
+        client = await pool.acquire(
+            state, ratelimits.Purpose.ITEM, repeatable=True, fresh=fresh
+        )
     except errors.LimitReached as error:
         return RunEnd.LIMITED, str(error)
     except errors.ConnectionLost as error:
@@ -176,12 +200,11 @@
         )
         reusable = end[0] is RunEnd.COMPLETED
         return end
-    except (
-        errors.ProtocolError,
-        errors.RequestError,
-        TimeoutError,
-        ValueError,
-    ) as error:
+    except errors.ProtocolError as error:
+        if client.was_dropped:
+            return None
+        return RunEnd.BROKEN, repr(error)
+    except (errors.RequestError, TimeoutError, ValueError) as error:
         return RunEnd.BROKEN, repr(error)
     finally:
         if reusable:
--- a/src/clementineline/coordination/probing.py
+++ b/src/clementineline/coordination/probing.py
@@ -73,7 +73,7 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 client = await self._pool.acquire(
-                    state, ratelimits.Purpose.PROBE
+                    state, ratelimits.Purpose.PROBE, repeatable=True
                 )
                 reply, _ = await self._pool.exchange(state, client, head)
         except (
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 
+from clementineline.coordination import draining
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
 from clementineline.coordination import usage
@@ -94,6 +95,7 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :ivar drains: the :class:`~draining.DrainEstimator` of the services
     :ivar on_attempt_began: called once for each attempt that an endpoint
         began, with the stream's organisation and the Unix time of the first
         event, in seconds; None for no calls
@@ -106,6 +108,7 @@
         '_log',
         '_pool',
         '_zone',
+        'drains',
         'on_attempt_began',
     )
 
@@ -117,6 +120,7 @@
         self._pool = pool
         self._zone = zone
         self.on_attempt_began = None
+        self.drains = draining.DrainEstimator()
 
     async def forward(
         self, route, incoming, facts, deadline, organisation=None
@@ -150,14 +154,18 @@
                 self._zone,
                 asyncio.get_running_loop().time(),
                 unlimited=refusals >= forwarding.LIMIT_REFUSALS_MAX,
+                has_idle=self._pool.has_idle,
             )
             if state is None:
                 break
             stream.tried.append(state.id)
+            started = asyncio.get_running_loop().time()
             verdict = await self._attempt(
                 route, state, stream, incoming, deadline
             )
             if isinstance(verdict, verdicts.Answered):
+                took_s = asyncio.get_running_loop().time() - started
+                self.drains.note_answer(service, took_s)
                 return verdict
             last = forwarding.choose_verdict(last, verdict)
             if (
@@ -169,9 +177,14 @@
                 break
         if stream.head_sent:
             incoming.abort()
-        return last or verdicts.NotRun(
+        verdict = last or verdicts.NotRun(
             'no endpoint is known', forwarding.RETRY_AFTER_S
         )
+        if organisation is None:
+            return verdict
+        return forwarding.delay_return(
+            verdict, self.drains, self._directory, service, deadline
+        )
 
     async def _attempt(self, route, state, stream, incoming, deadline):
         loop = asyncio.get_running_loop()
@@ -231,6 +244,7 @@
                 state,
                 ratelimits.Purpose.STREAM,
                 route.aim_s * forwarding.PERMIT_WAIT_SHARE,
+                repeatable=route.resumable,
             )
         except errors.ConnectionLost as error:
             return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
@@ -308,7 +322,9 @@
         """Return the verdict of a response that is not a stream."""
         if facts.not_run or status == 421:
             return verdicts.NotRun(
-                f'endpoint refused with {status}', forwarding.RETRY_AFTER_S
+                f'endpoint refused with {status}',
+                forwarding.RETRY_AFTER_S,
+                status != 421 and not facts.leaving,
             )
         matches = facts.request_id == incoming.request_id
         if stream.head_sent or not matches or status < 300:
--- a/src/clementineline/coordination/usage.py
+++ b/src/clementineline/coordination/usage.py
@@ -58,6 +58,8 @@
         if self._on_began is None or not self._organisation:
             return
         self._began_at = time.time()
+        if self._timer is not None:
+            self._timer.cancel()
         if count_after_s is not None:
             self._timer = asyncio.get_running_loop().call_later(
                 count_after_s, self._report
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -40,6 +40,8 @@
 # process may hold.
 CONNECTIONS_HELD_SHARE = 0.25
 SOCKETS_MIN = 64
+# Names the rules for endpoints and callers that compete for too little room.
+PRESSURE_CONTRACT = 'pressure'
 # Must be the port of ``metrics`` in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -113,6 +115,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     cloud: _CloudSettings | None = None
+    # Parts of the platform's rules that are in force.
+    contracts: list[str] = []
 
 
 def _load(path):
@@ -127,6 +131,15 @@
     return f'{boot.ip}:{boot.port_range[0]}'
 
 
+def _choose_keep_alive(boot):
+    """Return how long idle connections to endpoints are kept.
+
+    Where endpoints are under pressure, each new connection costs them some of
+    the room that requests compete for.
+    """
+    return 'announced' if PRESSURE_CONTRACT in boot.contracts else 'fixed'
+
+
 def _build_watch_settings(boot):
     return settings.WatchSettings(
         routes_apply_s=boot.bounds.config_apply_ms / 1000,
@@ -196,6 +209,7 @@
         watch=_build_watch_settings(boot),
         bounds=_derive_bounds(boot, GATEWAY_PEERS_SHARE),
         duties=_build_duty_settings(boot),
+        keep_alive=_choose_keep_alive(boot),
         access=settings.AccessSettings(
             fail_closed=boot.bounds.fail_closed,
             revoke_s=boot.bounds.revoke_ms / 1000,
@@ -229,4 +243,5 @@
         watch=_build_watch_settings(boot),
         bounds=_derive_bounds(boot, KEEPER_PEERS_SHARE),
         duties=_build_duty_settings(boot),
+        keep_alive=_choose_keep_alive(boot),
     )
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -303,6 +303,8 @@
         bytes
     :param watch: times within which a change in the store must be in force
     :param duties: duties towards the platform, None for none
+    :param keep_alive: ``announced`` if idle connections are kept for as long
+        as endpoints announce, ``fixed`` for a time that suits all
     :param access: what it does while it cannot confirm its route table
     :param bounds: the :class:`ProcessBounds`
     """
@@ -318,6 +320,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     duties: DutySettings | None = None
+    keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
     access: AccessSettings = AccessSettings()
     bounds: ProcessBounds = ProcessBounds()
 
@@ -338,6 +341,8 @@
     :param watch: times within which a change in the store must be in force
     :param duties: duties towards the platform, None for none
     :param bounds: the :class:`ProcessBounds`
+    :param keep_alive: ``announced`` if idle connections are kept for as long
+        as endpoints announce, ``fixed`` for a time that suits all
     """
 
     name: Name
@@ -352,6 +357,7 @@
     watch: WatchSettings = WatchSettings()
     duties: DutySettings | None = None
     bounds: ProcessBounds = ProcessBounds()
+    keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
 
 
 def _check_addresses(value, where):
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -22,19 +22,25 @@
     :param channel: the open :class:`~channels.Channel`
     :ivar budget: the :class:`~buffers.BufferBudget` that bodies count
         towards, or None
+    :ivar idle_limit_s: how long the endpoint is expected to keep it while it
+        is idle, in seconds; None if that is not known
     :ivar on_response: called with the head of each response
     :ivar response: head of the last response, or None
     :ivar used_at: loop time at which the connection was opened or the last
         response ended, in seconds
+    :ivar was_idle_long: whether the endpoint may have dropped it without
+        notice before the current request
     """
 
     __slots__ = (
         '_channel',
         '_protocol',
         'budget',
+        'idle_limit_s',
         'on_response',
         'response',
         'used_at',
+        'was_idle_long',
     )
 
     def __init__(self, channel):
@@ -43,8 +49,10 @@
             h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_MAX_BYTES
         )
         self.budget = None
+        self.idle_limit_s = None
         self.on_response = lambda response: None
         self.response = None
+        self.was_idle_long = False
         self.used_at = asyncio.get_running_loop().time()
 
     @property
@@ -57,6 +65,14 @@
             and not self._channel.has_unsent
         )
 
+    @property
+    def was_dropped(self):
+        """Whether the endpoint probably dropped it before the request.
+
+        It was idle for long and broke before a response.
+        """
+        return self.was_idle_long and self.response is None
+
     @property
     def ends_with_connection(self):
         """Whether only the end of the connection ends the response's body.
