Keep the order of age where no other organisation waits for the engines

Cause: since submissions are ranked, a step that was estimated to be late yielded to the next step of the same trainer, which cannot be asked before the first is complete, and started its cheapest groups in place of its longest items. Change: only submissions that compete with another organisation for an engine are ranked.

--- a/src/clementineline/coordination/fairorder.py
+++ b/src/clementineline/coordination/fairorder.py
@@ -1,8 +1,11 @@
 """Order in which the leader starts the items of open submissions.
 
 Where no organisations are in force, submissions go from the oldest to the
-newest. Where they are, :mod:`fairness` ranks them; this module gives it the
-costs of their items, in tokens that are expected to be generated.
+newest. Where they are, :mod:`fairness` ranks those that compete with another
+organisation for an engine; this module gives it the costs of their items, in
+tokens that are expected to be generated. A step whose engines no other
+organisation waits for stays in the order of age, longest items first: its
+trainer needs it before the next one, also if it is late.
 """
 
 import math
@@ -111,7 +114,8 @@
         self._log = log
         self._queue = fairness.FairQueue()
         self._ranked = None
-        # Loop time, tokens a second and time for an event, by pool.
+        # Loop time, tokens a second, time for an event and ids of the engines,
+        # by pool.
         self._rates = {}
         # Last standing by submission id.
         self._standings = {}
@@ -184,20 +188,27 @@
         claims = []
         works = {}
         rates = {}
+        alone = []
         self.waiting = {}
         self._measure_pools(entries.values(), now)
+        contested = self._find_contested_pools(entries.values())
         for key, entry in entries.items():
             pool = _get_pool(entry.submission)
-            _, rates[pool], event_s = self._rates[pool]
+            _, rates[pool], event_s, _ = self._rates[pool]
             work = _SubmissionWork(entry, self._get_event_tokens(entry))
             works[key] = work
-            claim = self._build_claim(entry, pool, event_s, work)
-            claims.append(claim)
-            name = claim.organisation
-            self.waiting[name] = self.waiting.get(name, 0.0) + claim.waiting
+            name = get_organisation(entry.submission)
+            self.waiting[name] = self.waiting.get(name, 0.0) + work.waiting
             if key not in self._asked_for:
                 self._asked_for.add(key)
-                self._queue.ask(name, claim.waiting)
+                self._queue.ask(name, work.waiting)
+            if pool in contested:
+                claims.append(self._build_claim(entry, pool, event_s, work))
+                continue
+            alone.append(Turn(entry))
+            if self._standings.pop(key, None):
+                # It was in the order of a late one.
+                entry.waiting = placement.sort_waiting_runs(entry.waiting)
         self._queue.update(self.waiting, now)
         ranked = fairness.rank(claims, self._queue, rates, unix_now)
         for claim, standing in ranked:
@@ -209,7 +220,30 @@
                     entry = entries[claim.key]
                     entry.waiting = placement.sort_waiting_runs(entry.waiting)
         self._standings = {claim.key: held for claim, held in ranked}
-        return _build_turns(ranked, entries, works)
+        return alone + _build_turns(ranked, entries, works)
+
+    def _find_contested_pools(self, entries):
+        """Return the pools with an engine that several organisations want."""
+        names = {}
+        for entry in entries:
+            pool = _get_pool(entry.submission)
+            names.setdefault(pool, set()).add(
+                get_organisation(entry.submission)
+            )
+        wanted = {}
+        for pool, organisations in names.items():
+            for engine_id in self._rates[pool][3]:
+                wanted.setdefault(engine_id, set()).update(organisations)
+        contested = set()
+        for pool, organisations in names.items():
+            if len(organisations) > 1:
+                contested.add(pool)
+                continue
+            for engine_id in self._rates[pool][3]:
+                if len(wanted[engine_id]) > 1:
+                    contested.add(pool)
+                    break
+        return contested
 
     def _log_standing(self, claim, standing, rates, unix_now):
         self._log.info(
@@ -275,9 +309,9 @@
     def _measure_pool(self, submission, now):
         """Measure the engines that may run a submission's items.
 
-        :returns: ``(rate, event_s)`` with the tokens that they generate in a
-            second, None if no pace is known, and the time for an event, in
-            seconds
+        :returns: ``(rate, event_s, ids)`` with the tokens that they generate
+            in a second, None if no pace is known, the time for an event, in
+            seconds, and the ids of the engines
         """
         engines = []
         for state in self._list_engines(submission):
@@ -291,10 +325,11 @@
                 engines.append(state)
         event_s = stragglers.find_typical_pace(engines)
         service = self._get_service(submission)
+        ids = [state.id for state in engines]
         if event_s is None or service is None:
-            return None, event_s or 0.0
+            return None, event_s or 0.0, ids
         slots = sum(state.record.slots for state in engines)
-        return slots * service.event_tokens / event_s, event_s
+        return slots * service.event_tokens / event_s, event_s, ids
 
     def note_start(self, entry, run, turn=None):
         """Charge an organisation with a run that starts.
