Soak: put a folder in place of a file that a keeper writes again

Cause: a keeper that writes its texts opens them with O_CREAT.

Change: the file is removed and the folder created until the folder is there, so the disk fails as before, also where the file came back.

--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -32,6 +32,17 @@
 CODE_STOPPED = 0
 
 
+def _replace_by_folder(path):
+    """Put a folder where a file is, however often a keeper writes it again."""
+    while not path.is_dir():
+        path.unlink(missing_ok=True)
+        try:
+            path.mkdir()
+        except FileExistsError:
+            # The keeper, another process, has created the file meanwhile.
+            continue
+
+
 class FaultInjector:
     """Injects overlapping faults and ends each of them.
 
@@ -264,10 +275,7 @@
         disk = self._fleet.get_disk(name)
         for number in (0, 1):
             path = disk / f'texts.{number}'
-            if path.is_dir():
-                continue
-            path.unlink(missing_ok=True)
-            path.mkdir()
+            _replace_by_folder(path)
         await asyncio.sleep(left_s)
         for number in (0, 1):
             path = disk / f'texts.{number}'
