Do not refuse the end of a submission that may be recorded

Cause: a DELETE whose first write to the store got no response, and whose second one failed, was answered with 503, which promises that it has not taken effect. The end may be recorded.

Change: such a call gets 504, which promises nothing.

Measured: test_end_that_may_be_recorded_is_not_refused fails before with 503 instead of 504 and passes now.

--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -462,6 +462,10 @@
                 verb=call.verb.value,
                 reason=str(error),
             )
+            if isinstance(error, errors.AmbiguousWrite):
+                # The end may be recorded, so the status must not say that
+                # the call was refused.
+                return 504, (), b''
             headers = self._dialect.build_retry_headers(STORE_RETRY_AFTER_S)
             return 503, headers, b''
 
@@ -556,6 +560,17 @@
         """
         await self._ask_owner(questions.SubmissionEnded(submission_id))
 
+    async def _repeat_end(self, submission_id):
+        """Record an end that may be recorded already.
+
+        :returns: whether the submission exists
+        :raises errors.AmbiguousWrite: if the store does not answer
+        """
+        try:
+            return await self._ledger.end(submission_id)
+        except errors.PlatformError as error:
+            raise errors.AmbiguousWrite(str(error)) from error
+
     async def _end_submission(self, call, reader):
         known = self._ended.get(call.submission_id)
         if reader is not None:
@@ -570,7 +585,7 @@
                 found = await self._ledger.end(call.submission_id)
             except errors.AmbiguousWrite:
                 # The write is idempotent, so it can be repeated.
-                found = await self._ledger.end(call.submission_id)
+                found = await self._repeat_end(call.submission_id)
             if not found:
                 return 404, (), b''
             self._ended[call.submission_id] = known
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -377,3 +377,22 @@
         assert await book.read('s1') == parts['south']
         await book.remove('s1', 0, 3, 'south')
         assert await book.read('s1') is None
+
+    async def test_end_that_may_be_recorded_is_not_refused(
+        self, access, monkeypatch
+    ):
+        # 503 would promise that the submission was not ended.
+        assert await self.submit(access, 's1', NORTH) == 202
+        failures = [
+            errors.AmbiguousWrite('no response'),
+            errors.PlatformUnavailable('status 503'),
+        ]
+
+        async def fail(*arguments):
+            raise failures.pop(0)
+
+        monkeypatch.setattr(ledgers.Ledger, 'end', fail)
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 504
+        assert not failures
+        failures.append(errors.PlatformUnavailable('status 503'))
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 503
