Give no final refusal while tables in use are not known

Cause: a process that went from one version of the manifest to a later one without those between, as a watch reports only the latest, did not know that another process may still use a skipped one. It answered 401 for a key that only the skipped one holds.

Change: after a skipped or dropped table refusals are 503 for as long as that table may be in use, as they are after a start.

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -7,7 +7,8 @@
 shared by all requests that wait and are limited in rate. As long as a table
 that allowed the request was in force moments ago, the refusal is temporary as
 well, since other processes may still use that table. A process that has just
-started does not know such tables, so its first refusals are temporary.
+started, or has skipped a table, does not know all such tables, so its refusals
+are temporary for that long.
 
 The functions decide without I/O, in constant time for any number of keys.
 """
@@ -253,7 +254,8 @@
         # Pairs of a replaced table and the time until which it counts.
         self._replaced = []
         self._settings = settings
-        # Time from which a refusal may be final.
+        # Time from which a refusal may be final, as the process knows all
+        # tables that others may still use.
         self._settled_at = math.inf
         self._table = None
         self._watcher = watcher
@@ -263,10 +265,13 @@
         now = self._clock.now()
         until = now + self._apply_s + REPLACED_MARGIN_S
         kept = [pair for pair in self._replaced if now < pair[1]]
-        if self._table is None:
+        if self._table is None or table.version > self._table.version + 1:
+            # Other processes may use tables that this one has not seen.
             self._settled_at = until
-        else:
+        if self._table is not None:
             kept.append((self._table, until))
+        for _, dropped_until in kept[:-REPLACED_TABLES_MAX]:
+            self._settled_at = max(self._settled_at, dropped_until)
         self._replaced = kept[-REPLACED_TABLES_MAX:]
         self._table = table
 
@@ -342,7 +347,7 @@
             return access
         now = self._clock.now()
         if now < self._settled_at:
-            return Access(UNAVAILABLE, 'started moments ago')
+            return Access(UNAVAILABLE, 'earlier keys not known')
         for table, until in self._replaced:
             if now < until and not judge(table, Standing(True)).status:
                 return Access(UNAVAILABLE, 'key not valid any more')
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -268,6 +268,26 @@
         setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
         assert await setup.decide('old') == 401
 
+    async def test_refusal_is_temporary_after_a_table_was_skipped(self):
+        # Another process may still use the skipped one, which has the key.
+        setup = Setup()
+        setup.start(build_table(1, {'n': 'north'}))
+        setup.authorizer.replace_table(build_table(3, {'n': 'north'}))
+        assert await setup.decide('x') == 503
+        setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
+        assert await setup.decide('x') == 401
+
+    async def test_refusal_is_temporary_after_very_many_changes(self):
+        # Only some of the replaced tables are kept.
+        setup = Setup()
+        setup.start(build_table(1, {'old': 'north'}))
+        last = 2 + authorization.REPLACED_TABLES_MAX
+        for version in range(2, last + 1):
+            setup.authorizer.replace_table(build_table(version, {}))
+        assert await setup.decide('old') == 503
+        setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
+        assert await setup.decide('old') == 401
+
     async def test_first_refusals_of_a_process_are_temporary(self):
         # The key may have been removed moments before its start.
         setup = Setup()
