Read the manifest before a submission is withheld for good

Cause: a key that a newer manifest gives to the organisation of a submission got 404 for it from a gateway that had not heard of this manifest, also while that gateway was cut off from the store, though the manifest in force allows the call. Besides, a submission that does not exist got 503 for some seconds after any change of the key. A gateway that remembered the end of a submission, whose id another organisation has used since, answered the new one with 404, and the old one with 200.

Change: the 404 for a submission of another organisation is decided as a 401 is: 503 while the table is not current or a replaced one counts, and after a read of the manifest that began after the call. A submission that does not exist gets 404 at once. A remembered end denies nothing by itself and is forgotten when the id is accepted again. One test lets the next read happen at once, as others do; the status that it asks for is the same.

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -37,6 +37,7 @@
 UNAVAILABLE = 503
 NOT_FOUND = 404
 NO_ROUTE = 'no route'
+OTHER_ORGANISATION = 'submission of another organisation'
 # Retry-After of requests that are refused for the time being.
 RETRY_AFTER_S = 0.2
 # Time between two reads of the table for unknown keys, as a share of the time
@@ -76,6 +77,13 @@
     routes_version: int = 0
     retry_after_s: float = RETRY_AFTER_S
 
+    @property
+    def depends_on_key(self):
+        """Whether it is a final refusal that another table might not give."""
+        return self.status == UNAUTHORISED or (
+            self.reason == OTHER_ORGANISATION
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
@@ -282,21 +290,6 @@
         """
         return name_reader(self._table, key, self._get_standing())
 
-    def has_other_reader(self, key):
-        """Return whether a key counted otherwise moments ago.
-
-        A table that other processes may still use then allows the key what
-        the one in force does not, such as the submissions of another
-        organisation.
-        """
-        now = self._clock.now()
-        current = ('', self.name_reader(key))
-        for table, until in self._replaced:
-            reader = name_reader(table, key, Standing(True))
-            if now < until and reader not in current:
-                return True
-        return False
-
     async def authorize_call(self, facts):
         """Decide on a call whose body has been read.
 
@@ -309,17 +302,24 @@
 
         return await self._decide(judge)
 
-    async def authorize_reader(self, key):
-        """Decide on a call on a submission that needs a key.
+    async def authorize_reader(self, key, denied):
+        """Decide on a call on a submission that its reader may not use.
 
-        :returns: an :class:`Access`; allowed if the key is valid
+        :param denied: organisation of the key that may not use it, as
+            :meth:`name_reader` returned it; '' without a valid key
+        :returns: an :class:`Access`; allowed if the key counts for another
+            organisation than ``denied``, which must be compared then
         """
 
         def judge(table, standing):
             reader = name_reader(table, key, standing)
             if reader == '':
                 return _refuse_unknown(standing, 'no valid key')
-            return Access(organisation=reader)
+            if reader != denied:
+                return Access(organisation=reader)
+            if standing.current:
+                return Access(NOT_FOUND, OTHER_ORGANISATION)
+            return Access(UNAVAILABLE, 'no current configuration')
 
         return await self._decide(judge)
 
@@ -330,7 +330,7 @@
             :class:`Access`
         """
         access = self._judge(judge)
-        if access.status != UNAUTHORISED:
+        if not access.depends_on_key:
             return access
         confirmed, retry_after_s = await self._reader.confirm()
         if not confirmed:
@@ -343,14 +343,14 @@
 
     def _judge(self, judge):
         access = judge(self._table, self._get_standing())
-        if access.status != UNAUTHORISED:
+        if not access.depends_on_key:
             return access
         now = self._clock.now()
         if now < self._settled_at:
             return Access(UNAVAILABLE, 'earlier keys not known')
         for table, until in self._replaced:
             if now < until and not judge(table, Standing(True)).status:
-                return Access(UNAVAILABLE, 'key not valid any more')
+                return Access(UNAVAILABLE, 'key changed moments ago')
         return access
 
     def _get_standing(self):
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -204,7 +204,7 @@
         setup = Setup()
         setup.start(build_table(1, {'n': 'north'}))
         assert await setup.decide('x') == 401
-        access = await setup.authorizer.authorize_reader('x')
+        access = await setup.authorizer.authorize_reader('x', '')
         # The table may have changed since the read before.
         assert access.status == 503
         assert access.retry_after_s > authorization.RETRY_AFTER_S
@@ -308,7 +308,7 @@
         assert await setup.decide('n') == 503
         assert await setup.decide('n', '/open/a') == 0
         assert setup.authorizer.name_reader('n') == ''
-        assert (await setup.authorizer.authorize_reader('n')).status == 503
+        assert (await setup.authorizer.authorize_reader('n', '')).status == 503
         assert not setup.reads
 
     async def test_process_that_is_cut_off_goes_on_by_default(self):
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -47,6 +47,10 @@
 ENDED_SUBMISSIONS_MAX = 2000
 
 
+class _Denied(Exception):
+    """The reader may not use the submission."""
+
+
 class Gateway(base.BaseProcess):
     """Serves callers and trainers over HTTP.
 
@@ -348,6 +352,8 @@
                 self._refuse(incoming, facts, 504, reason)
                 return
             await asyncio.sleep(ACCEPT_RETRY_DELAY_S)
+        # An earlier submission of the id may have been ended and removed.
+        self._ended.pop(submission.id, None)
         self.metrics.count('submissions_total', verb='submit', status=202)
         self._log.info(
             'submission accepted',
@@ -408,26 +414,10 @@
             incoming.respond(503, headers, b'no configuration yet\n')
             return
         reader = self._authorizer.name_reader(call.key)
-        status, headers, body = await self._serve_batch(call, reader)
-        if status == authorization.UNAUTHORISED:
-            access = await self._authorizer.authorize_reader(call.key)
-            if access.status:
-                self._count_refusal(access)
-                status, headers = access.status, ()
-                if status == 503:
-                    headers = self._dialect.build_retry_headers(
-                        access.retry_after_s
-                    )
-                body = f'{access.reason}\n'.encode()
-            else:
-                status, headers, body = await self._serve_batch(
-                    call, access.organisation
-                )
-        elif status == 404 and self._authorizer.has_other_reader(call.key):
-            status = 503
-            headers = self._dialect.build_retry_headers(
-                NOT_READY_RETRY_AFTER_S
-            )
+        try:
+            status, headers, body = await self._serve_batch(call, reader)
+        except _Denied:
+            status, headers, body = await self._serve_denied(call, reader)
         self.metrics.count(
             'submissions_total', verb=call.verb.value, status=status
         )
@@ -440,13 +430,38 @@
             )
         incoming.respond(status, headers, body)
 
+    async def _serve_denied(self, call, denied):
+        """Serve a call on a submission that its reader may not use.
+
+        Another process may know a newer manifest, which allows it.
+
+        :param denied: as :meth:`~authorization.Authorizer.name_reader`
+            returned it
+        :returns: ``(status, headers, body)``
+        """
+        access = await self._authorizer.authorize_reader(call.key, denied)
+        if not access.status:
+            try:
+                return await self._serve_batch(call, access.organisation)
+            except _Denied:
+                # The next call is decided with the table that is known now.
+                access = authorization.Access(503, 'key changed moments ago')
+        self._count_refusal(access)
+        if access.status == 503:
+            headers = self._dialect.build_retry_headers(access.retry_after_s)
+            return 503, headers, f'{access.reason}\n'.encode()
+        if access.status == 404:
+            # The same response as for a submission that does not exist.
+            return 404, (), b''
+        return access.status, (), f'{access.reason}\n'.encode()
+
     async def _serve_batch(self, call, reader):
         """Serve a call on a submission.
 
         :param reader: as :meth:`~authorization.Authorizer.name_reader`
             returns it
-        :returns: ``(status, headers, body)``; the status is 401 if a valid
-            key is needed
+        :returns: ``(status, headers, body)``
+        :raises _Denied: if the reader may not use the submission
         """
         handle = {
             dialects.BatchVerb.READ_RESULTS: self._read_results,
@@ -491,13 +506,13 @@
         )
         answer = await self._ask_owner(question, call.wait_s)
         if isinstance(answer, questions.Denied):
-            return _get_missing_status(reader), (), b''
+            raise _Denied
         if answer is not None:
             page = answer.page
         else:
             page = await self._read_recorded(call, reader)
             if page is None:
-                return _get_missing_status(reader), (), b''
+                return _answer_missing(reader)
         headers = ((b'Content-Type', b'application/json'),)
         return 200, headers, self._dialect.encode_page(page)
 
@@ -505,20 +520,20 @@
         """Read a submission from the ledger.
 
         :returns: the :class:`~submissions.Submission`; None if it is unknown
-            or the reader may not use it
+        :raises _Denied: if the reader may not use it
         """
         record = await self._ledger.read_record(submission_id)
         if record is None:
             return None
         if not authorization.may_use(record.submission.organisation, reader):
-            return None
+            raise _Denied
         return await self._ledger.complete(record)
 
     async def _read_recorded(self, call, reader=None):
         """Read a page of results from the ledger.
 
-        :returns: the page; None if the submission is unknown, or the reader
-            may not use it
+        :returns: the page; None if the submission is unknown
+        :raises _Denied: if the reader may not use it
         """
         submission = await self._read_submission(call.submission_id, reader)
         if submission is None:
@@ -533,7 +548,7 @@
         question = questions.ReadBody(call.submission_id, call.item_id, reader)
         answer = await self._ask_owner(question)
         if isinstance(answer, questions.Denied):
-            return _get_missing_status(reader), (), b''
+            raise _Denied
         if answer is not None:
             body = answer.body
         else:
@@ -541,7 +556,7 @@
                 call.submission_id, reader
             )
             if submission is None:
-                return _get_missing_status(reader), (), b''
+                return _answer_missing(reader)
             listed_ids = set()
             for chunk in await self._ledger.read_chunks(call.submission_id):
                 listed_ids.update(result.item_id for result in chunk.results)
@@ -573,14 +588,21 @@
 
     async def _end_submission(self, call, reader):
         known = self._ended.get(call.submission_id)
-        if reader is not None:
-            if known is None:
-                known = await self._find_organisation(call.submission_id)
-            if known is None or not authorization.may_use(
-                known.organisation, reader
-            ):
-                return _get_missing_status(reader), (), b''
-        if call.submission_id not in self._ended:
+        ended = call.submission_id in self._ended
+        if reader is not None and (
+            known is None
+            or not authorization.may_use(known.organisation, reader)
+        ):
+            found = await self._find_organisation(call.submission_id)
+            if found is None:
+                return _answer_missing(reader)
+            if not authorization.may_use(found.organisation, reader):
+                raise _Denied
+            if known is not None and found != known:
+                # Another organisation has used the id again since.
+                ended = False
+            known = found
+        if not ended:
             try:
                 found = await self._ledger.end(call.submission_id)
             except errors.AmbiguousWrite:
@@ -595,11 +617,15 @@
         return 200, (), b''
 
 
-def _get_missing_status(reader):
-    """Return the status of a call on a submission that is not to be found.
+def _answer_missing(reader):
+    """Answer a call on a submission that does not exist.
 
     Without a valid key, a caller does not learn which submissions exist.
 
     :param reader: as :meth:`~authorization.Authorizer.name_reader` returns it
+    :returns: ``(status, headers, body)``
+    :raises _Denied: if the reader has no valid key
     """
-    return authorization.UNAUTHORISED if reader == '' else 404
+    if reader == '':
+        raise _Denied
+    return 404, (), b''
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -289,6 +289,7 @@
             assert await access.call(path, NORTH, method=method) == 200
         assert access.store.get_status('submissions', 's1')
         # A repeated end is answered without the store.
+        access.forget_refusals()
         assert await access.call('/api/lots/s1', SOUTH, method='DELETE') == 404
 
     async def test_end_costs_one_call_to_the_store(self, access, wait_until):
@@ -396,3 +397,55 @@
         assert not failures
         failures.append(errors.PlatformUnavailable('status 503'))
         assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 503
+
+    @pytest.mark.parametrize('leader', [True, False])
+    async def test_key_given_to_another_organisation_is_used_at_once(
+        self, access, leader, monkeypatch
+    ):
+        """A 404 from a late gateway would deny what the manifest allows."""
+        assert await self.submit(access, 's1', NORTH) == 202
+        if not leader:
+
+            async def fail(*arguments):
+                raise errors.NotReady('no leader')
+
+            monkeypatch.setattr(leaders.LeaderClient, 'ask', fail)
+        access.gateway._route_watcher._on_objects = lambda *changes: None
+        access.put([{'name': 'north', 'apiKeys': [SOUTH]}])
+        assert await access.call('/api/lots/s1', SOUTH, method='GET') == 200
+
+    async def test_late_gateway_that_is_cut_off_gives_no_404(self, access):
+        # The key may belong to the submission's organisation by now.
+        assert await self.submit(access, 's1', NORTH) == 202
+        access.gateway._route_watcher.current = False
+        for method in ('GET', 'DELETE'):
+            status = await access.call('/api/lots/s1', SOUTH, method=method)
+            assert status == 503
+        access.gateway._route_watcher.current = True
+        assert not access.store.get_status('submissions', 's1')
+
+    async def test_unknown_submission_is_not_found_without_a_read(
+        self, access
+    ):
+        # Calls are priced, and no manifest allows what does not exist.
+        await access.change([{'name': 'south', 'apiKeys': [NORTH]}])
+        status = await access.call('/api/lots/s9', NORTH, method='GET')
+        assert status == 404
+        assert access.gateway._authorizer._reader._started_at is None
+
+    async def test_end_of_a_later_submission_of_the_same_id(self, access):
+        # An end that is remembered would deny the new one's own key.
+        assert await self.submit(access, 's1', NORTH) == 202
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 200
+        for keeper in access.deployment.keepers.values():
+            if keeper._owner is not None:
+                entry = keeper._owner.open_submissions['s1']
+                await keeper._owner._remove_submission(entry)
+        for name in ('i-lm0', 'i-lm1'):
+            access.servers[name].gap_s = 5.0
+        assert await self.submit(access, 's1', SOUTH) == 202
+        access.forget_refusals()
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 404
+        assert not access.store.get_status('submissions', 's1')
+        assert await access.call('/api/lots/s1', SOUTH, method='DELETE') == 200
+        assert access.store.get_status('submissions', 's1')
