Let refused callers return before the next read of the manifest

Cause: a caller whose key could not be looked up yet was told to return at the time of the next read. Where others send wrong keys, that read has just begun then, so the caller was refused again each time, also with a key that had just been added, until the watch reported it.

Change: it is told to return 0.2 s earlier, and takes part in the read.

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -48,6 +48,10 @@
 # Longest wait for the start of such a read. Callers of live calls wait for
 # some 800 ms.
 READ_WAIT_MAX_S = 0.4
+# A refused request is told to return this share of the wait before the next
+# read. At the time of the read it would come just after one that others have
+# caused, and be refused again.
+RETRY_READ_SHARE = 0.5
 # Requests that wait hold their bodies. Others are told to retry.
 WAITING_MAX = 64
 # A replaced table counts as in force for the time within which a change must
@@ -212,7 +216,8 @@
             starts_at = max(now, self._started_at + self._interval_s)
         delay_s = starts_at - now
         if delay_s > READ_WAIT_MAX_S or self._waiting >= WAITING_MAX:
-            return False, max(RETRY_AFTER_S, delay_s)
+            early_s = RETRY_READ_SHARE * READ_WAIT_MAX_S
+            return False, max(RETRY_AFTER_S, delay_s - early_s)
         if self._next is None:
             self._next = asyncio.create_task(self._read_after(delay_s))
         self._waiting += 1
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -236,6 +236,24 @@
         assert statuses.count(401) == authorization.WAITING_MAX
         assert set(statuses) == {401, 503}
 
+    async def test_caller_that_returns_as_told_takes_part_in_a_read(self):
+        # With other wrong keys about, it would come just after each read.
+        setup = Setup()
+        setup.start(build_table(1, {'n': 'north'}))
+        await setup.decide('x')
+        access = await setup.authorizer.authorize_call(build_facts('y'))
+        assert access.status == 503
+
+        async def send_others():
+            while True:
+                task = asyncio.create_task(setup.decide('x'))
+                await asyncio.wait([task], timeout=0.01)
+
+        others = asyncio.create_task(send_others())
+        await asyncio.sleep(access.retry_after_s + 0.05)
+        assert await setup.decide('y') == 401
+        others.cancel()
+
     async def test_caller_that_leaves_does_not_end_the_read_of_others(self):
         setup = Setup()
         setup.start(build_table(1, {'n': 'north'}))
