Read the manifest before an id counts as taken

Cause: a submission that was sent again with a valid key through a gateway that had not heard of the key, or of its new organisation, was refused with 400, though the same organisation had got 202 for it.

Change: the refusal is decided as a 401 is, within the time limit of an acceptance, and is 504 where it cannot be decided.

--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -332,9 +332,15 @@
         ambiguous = False
         while True:
             try:
-                if await self._accept(submission):
+                taken = await self._accept(submission)
+                if taken is None:
                     break
-                self._refuse(incoming, facts, 400, 'id is taken')
+                status = await self._judge_taken_id(
+                    taken, submission, facts.key, deadline
+                )
+                if status == 202:
+                    break
+                self._refuse(incoming, facts, status, 'id is taken')
                 return
             except errors.AmbiguousWrite as error:
                 ambiguous = True
@@ -368,24 +374,54 @@
     async def _accept(self, submission):
         """Record a submission.
 
-        :returns: whether it is recorded; False if another organisation has
-            recorded one with its id
+        :returns: None if it is recorded; the
+            :class:`~questions.OrganisationAnswer` of the recorded one if
+            another organisation seems to have used its id
         :raises errors.AmbiguousWrite: if it may be recorded
         :raises errors.PlatformError: if it is not recorded
         """
         if await self._ledger.accept(submission):
-            return True
+            return None
         if submission.organisation is None:
-            return True
+            return None
         try:
             found = await self._find_organisation(submission.id)
         except errors.PlatformError as error:
             raise errors.AmbiguousWrite(f'id is taken: {error}') from error
         if found is None:
             raise errors.AmbiguousWrite('id is taken, its record not found')
-        return authorization.may_repeat(
+        if authorization.may_repeat(
             found.organisation, submission.organisation
-        )
+        ):
+            return None
+        return found
+
+    async def _judge_taken_id(self, taken, submission, key, deadline):
+        """Decide on a submission whose id another organisation seems to use.
+
+        A newer manifest may give the key to that organisation, which then
+        repeats a submission that was accepted.
+
+        :param taken: what :meth:`_accept` returned
+        :param deadline: loop time of the latest decision, in seconds
+        :returns: HTTP status: 202 for a repeat, 400 for a refusal, 504 if it
+            cannot be decided in time
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            access = await self._authorizer.authorize_reader(
+                key, submission.organisation
+            )
+            if access.status in (401, 404):
+                return 400
+            if not access.status:
+                repeats = authorization.may_repeat(
+                    taken.organisation, access.organisation
+                )
+                return 202 if repeats else 400
+            if loop.time() + access.retry_after_s > deadline:
+                return 504
+            await asyncio.sleep(access.retry_after_s)
 
     async def _find_organisation(self, submission_id):
         """Find the organisation of a submission.
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -449,3 +449,25 @@
         assert not access.store.get_status('submissions', 's1')
         assert await access.call('/api/lots/s1', SOUTH, method='DELETE') == 200
         assert access.store.get_status('submissions', 's1')
+
+    async def test_repeat_through_a_late_gateway_is_not_refused(self, access):
+        # The submission was accepted, and 400 would tell its owner otherwise.
+        for path in ('/openbatch/', '/batch/'):
+            submission_id = f's{len(path)}'
+            status = await self.submit(access, submission_id, NORTH, path=path)
+            assert status == 202
+            access.forget_refusals()
+            key = 'new' if path == '/openbatch/' else SOUTH
+            route_watcher = access.gateway._route_watcher
+            on_objects = route_watcher._on_objects
+            route_watcher._on_objects = lambda *changes: None
+            access.put([{'name': 'north', 'apiKeys': [NORTH, key]}])
+            status = await self.submit(access, submission_id, key, path=path)
+            assert status == 202
+            route_watcher._on_objects = on_objects
+
+    async def test_taken_id_is_refused_after_another_refusal(self, access):
+        # 504 would let the other one repeat a submission that cannot run.
+        assert await self.submit(access, 's1', NORTH) == 202
+        for _ in range(2):
+            assert await self.submit(access, 's1', SOUTH) == 400
