Drop an item's headers about its connection under organisations

Cause: the headers of an item were sent as given, with Connection and Transfer-Encoding among them. A Connection that names Tenant has a proxy before the endpoint remove the organisation's name; calls drop both already.

Change: where organisations are in force, an item's own headers are stripped as those of calls are. The headers that the process sets stay. Without organisations they are sent as before.

Measured: test_item_cannot_have_the_name_removed fails before and passes now; test_organisations and test_codecs pass.

--- a/src/clementineline/platform/calls.py
+++ b/src/clementineline/platform/calls.py
@@ -132,13 +132,18 @@
         (b'Request-Id', item.id.encode('latin-1')),
         (b'Expect-Instance', endpoint.id.encode()),
     ]
+    given = []
     for key, value in item.headers:
         name = key.encode('latin-1')
         if name.lower() in _RESERVED_HEADERS:
             continue
         if organisation is not None and name.lower() in IDENTITY_HEADERS:
             continue
-        headers.append((name, value.encode('latin-1')))
+        given.append((name, value.encode('latin-1')))
+    if organisation is not None:
+        # A proxy would remove the headers that the item's Connection names.
+        given = http.strip_connection_headers(given)
+    headers.extend(given)
     if organisation:
         headers.append((b'Tenant', organisation.encode()))
     if resume_after:
--- a/src/clementineline/platform/tests/test_organisations.py
+++ b/src/clementineline/platform/tests/test_organisations.py
@@ -152,6 +152,30 @@
         found = [value for key, value in head.headers if key.lower() in names]
         assert found == sent
 
+    @pytest.mark.parametrize('organisation', ['north', ''])
+    def test_item_cannot_have_the_name_removed(
+        self, organisation, monkeypatch
+    ):
+        # A proxy before the endpoint drops the headers that Connection names,
+        # and may frame the body otherwise.
+        headers = {
+            'Connection': 'Tenant, Expect-Instance',
+            'transfer-encoding': 'chunked',
+        }
+        monkeypatch.setattr(self, 'HEADERS', headers, raising=False)
+        submission = self.decode(organisation)
+        head = calls.build_item_call(
+            submission,
+            submission.items[0],
+            endpoints.decode_endpoint('i-1', ENTRY),
+            0,
+            organisation,
+        )
+        names = {key.lower() for key, _ in head.headers}
+        assert not names & {b'connection', b'transfer-encoding'}
+        assert b'expect-instance' in names
+        assert ((b'Tenant', b'north') in head.headers) == bool(organisation)
+
 
 class TestSettings:
     @pytest.mark.parametrize(
