Limit reads of the ledger for callers without a valid key

Cause: each call without a valid key on a submission that the leader does not know read its record from the store, so anybody could cause a priced call by each request.

Change: a gateway makes five such reads a second at most, ten at once; other calls get 503. Calls with a valid key are not limited. The figures are chosen, not measured.

Measured: test_reads_for_callers_without_a_key_are_limited fails before with 75 reads for 75 calls and passes now; test_access and test_authorization pass (73 tests).

--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -24,6 +24,7 @@
     'UNAUTHORISED',
     'Access',
     'Authorizer',
+    'KeylessReads',
     'Standing',
     'TableReader',
     'choose_organisation',
@@ -59,6 +60,11 @@
 # knows of all such tables that long after its start.
 REPLACED_MARGIN_S = 1.0
 REPLACED_TABLES_MAX = 8
+# Reads of the ledger for callers without a valid key, in each gateway. They
+# are needed for submissions that came without one, while nobody leads. A few
+# trainers read some times a second, through all gateways.
+KEYLESS_READS_PER_S = 5.0
+KEYLESS_READS_BURST = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +191,33 @@
     return None
 
 
+class KeylessReads:
+    """Limits the reads of the ledger for callers without a valid key.
+
+    Anybody may send such calls, and each of them may name a submission that
+    the leader does not know.
+    """
+
+    __slots__ = ('_allowed', '_updated_at')
+
+    def __init__(self):
+        self._allowed = KEYLESS_READS_BURST
+        self._updated_at = 0.0
+
+    def take(self, now):
+        """Return whether a read is allowed, and count it.
+
+        :param now: monotonic time, in seconds
+        """
+        earned = (now - self._updated_at) * KEYLESS_READS_PER_S
+        self._allowed = min(KEYLESS_READS_BURST, self._allowed + earned)
+        self._updated_at = now
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
+
 class TableReader:
     """Reads the route table for requests whose key is unknown.
 
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -86,6 +86,7 @@
             settings.watch.routes_apply_s,
             self._clock,
         )
+        self._keyless_reads = authorization.KeylessReads()
         # Ended submissions, so that a repeated end needs no write: by id, the
         # OrganisationAnswer, None if it was not needed.
         self._ended = collections.OrderedDict()
@@ -423,11 +424,12 @@
                 return 504
             await asyncio.sleep(access.retry_after_s)
 
-    async def _find_organisation(self, submission_id):
+    async def _find_organisation(self, submission_id, reader=None):
         """Find the organisation of a submission.
 
         The leader knows it, so that the store is seldom asked.
 
+        :param reader: as for :meth:`_read_record`
         :returns: a :class:`~questions.OrganisationAnswer`; None if the
             submission is unknown
         :raises errors.PlatformError: if the ledger cannot be read
@@ -436,11 +438,27 @@
         answer = await self._ask_owner(question)
         if answer is not None:
             return answer
-        record = await self._ledger.read_record(submission_id)
+        record = await self._read_record(submission_id, reader)
         if record is None:
             return None
         return questions.OrganisationAnswer(record.submission.organisation)
 
+    async def _read_record(self, submission_id, reader):
+        """Read a submission's object from the ledger.
+
+        :param reader: organisation of the caller; '' without a valid key
+        :returns: as :meth:`~ledger.Ledger.read_record`
+        :raises errors.PlatformError: if it cannot be read, or too many
+            callers without a valid key cause reads
+        """
+        if reader == '':
+            now = asyncio.get_running_loop().time()
+            if not self._keyless_reads.take(now):
+                raise errors.PlatformUnavailable(
+                    'too many reads for calls without a valid key'
+                )
+        return await self._ledger.read_record(submission_id)
+
     async def _handle_batch(self, incoming, call):
         if self._routes.table is None:
             # Organisations may be in force.
@@ -558,7 +576,7 @@
         :returns: the :class:`~submissions.Submission`; None if it is unknown
         :raises _Denied: if the reader may not use it
         """
-        record = await self._ledger.read_record(submission_id)
+        record = await self._read_record(submission_id, reader)
         if record is None:
             return None
         if not authorization.may_use(record.submission.organisation, reader):
@@ -629,7 +647,7 @@
             known is None
             or not authorization.may_use(known.organisation, reader)
         ):
-            found = await self._find_organisation(call.submission_id)
+            found = await self._find_organisation(call.submission_id, reader)
             if found is None:
                 return _answer_missing(reader)
             if not authorization.may_use(found.organisation, reader):
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -4,6 +4,7 @@
 Submissions must be of use to their organisation only.
 """
 
+import asyncio
 import json
 
 import pytest
@@ -471,3 +472,29 @@
         assert await self.submit(access, 's1', NORTH) == 202
         for _ in range(2):
             assert await self.submit(access, 's1', SOUTH) == 400
+
+    async def test_reads_for_callers_without_a_key_are_limited(
+        self, access, monkeypatch
+    ):
+        # Anybody could cause a priced call to the store by each request.
+        reads = []
+        read_record = ledgers.Ledger.read_record
+
+        async def count(ledger, submission_id):
+            reads.append(submission_id)
+            return await read_record(ledger, submission_id)
+
+        monkeypatch.setattr(ledgers.Ledger, 'read_record', count)
+        calls = []
+        for number in range(25):
+            for method, path in (
+                ('GET', '/api/lots/'),
+                ('DELETE', '/api/lots/'),
+                ('GET', '/api/items/'),
+            ):
+                calls.append(
+                    access.call(f'{path}x{number}', WRONG, method=method)
+                )
+        assert set(await asyncio.gather(*calls)) <= {401, 503}
+        assert 0 < len(reads) < 25
+        assert await access.call('/api/lots/x', NORTH, method='GET') == 404
