--- a/src/clementineline/coordination/authorization.py
+++ b/src/clementineline/coordination/authorization.py
@@ -7,7 +7,8 @@
 shared by all requests that wait and are limited in rate. As long as a table
 that allowed the request was in force moments ago, the refusal is temporary as
 well, since other processes may still use that table. A process that has just
-started does not know such tables, so its first refusals are temporary.
+started, or has skipped a table, does not know all such tables, so its refusals
+are temporary for that long.
 
 The functions decide without I/O, in constant time for any number of keys.
 """
@@ -23,6 +24,7 @@
     'UNAUTHORISED',
     'Access',
     'Authorizer',
+    'KeylessReads',
     'Standing',
     'TableReader',
     'choose_organisation',
@@ -36,6 +38,7 @@
 UNAVAILABLE = 503
 NOT_FOUND = 404
 NO_ROUTE = 'no route'
+OTHER_ORGANISATION = 'submission of another organisation'
 # Retry-After of requests that are refused for the time being.
 RETRY_AFTER_S = 0.2
 # Time between two reads of the table for unknown keys, as a share of the time
@@ -46,6 +49,10 @@
 # Longest wait for the start of such a read. Callers of live calls wait for
 # some 800 ms.
 READ_WAIT_MAX_S = 0.4
+# A refused request is told to return this share of the wait before the next
+# read. At the time of the read it would come just after one that others have
+# caused, and be refused again.
+RETRY_READ_SHARE = 0.5
 # Requests that wait hold their bodies. Others are told to retry.
 WAITING_MAX = 64
 # A replaced table counts as in force for the time within which a change must
@@ -53,6 +60,11 @@
 # knows of all such tables that long after its start.
 REPLACED_MARGIN_S = 1.0
 REPLACED_TABLES_MAX = 8
+# Reads of the ledger for callers without a valid key, in each gateway. They
+# are needed for submissions that came without one, while nobody leads. A few
+# trainers read some times a second, through all gateways.
+KEYLESS_READS_PER_S = 5.0
+KEYLESS_READS_BURST = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +87,13 @@
     routes_version: int = 0
     retry_after_s: float = RETRY_AFTER_S
 
+    @property
+    def depends_on_key(self):
+        """Whether it is a final refusal that another table might not give."""
+        return self.status == UNAUTHORISED or (
+            self.reason == OTHER_ORGANISATION
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
@@ -172,6 +191,33 @@
     return None
 
 
+class KeylessReads:
+    """Limits the reads of the ledger for callers without a valid key.
+
+    Anybody may send such calls, and each of them may name a submission that
+    the leader does not know.
+    """
+
+    __slots__ = ('_allowed', '_updated_at')
+
+    def __init__(self):
+        self._allowed = KEYLESS_READS_BURST
+        self._updated_at = 0.0
+
+    def take(self, now):
+        """Return whether a read is allowed, and count it.
+
+        :param now: monotonic time, in seconds
+        """
+        earned = (now - self._updated_at) * KEYLESS_READS_PER_S
+        self._allowed = min(KEYLESS_READS_BURST, self._allowed + earned)
+        self._updated_at = now
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
+
 class TableReader:
     """Reads the route table for requests whose key is unknown.
 
@@ -203,7 +249,8 @@
             starts_at = max(now, self._started_at + self._interval_s)
         delay_s = starts_at - now
         if delay_s > READ_WAIT_MAX_S or self._waiting >= WAITING_MAX:
-            return False, max(RETRY_AFTER_S, delay_s)
+            early_s = RETRY_READ_SHARE * READ_WAIT_MAX_S
+            return False, max(RETRY_AFTER_S, delay_s - early_s)
         if self._next is None:
             self._next = asyncio.create_task(self._read_after(delay_s))
         self._waiting += 1
@@ -253,7 +300,8 @@
         # Pairs of a replaced table and the time until which it counts.
         self._replaced = []
         self._settings = settings
-        # Time from which a refusal may be final.
+        # Time from which a refusal may be final, as the process knows all
+        # tables that others may still use.
         self._settled_at = math.inf
         self._table = None
         self._watcher = watcher
@@ -263,10 +311,13 @@
         now = self._clock.now()
         until = now + self._apply_s + REPLACED_MARGIN_S
         kept = [pair for pair in self._replaced if now < pair[1]]
-        if self._table is None:
+        if self._table is None or table.version > self._table.version + 1:
+            # Other processes may use tables that this one has not seen.
             self._settled_at = until
-        else:
+        if self._table is not None:
             kept.append((self._table, until))
+        for _, dropped_until in kept[:-REPLACED_TABLES_MAX]:
+            self._settled_at = max(self._settled_at, dropped_until)
         self._replaced = kept[-REPLACED_TABLES_MAX:]
         self._table = table
 
@@ -277,21 +328,6 @@
         """
         return name_reader(self._table, key, self._get_standing())
 
-    def has_other_reader(self, key):
-        """Return whether a key counted otherwise moments ago.
-
-        A table that other processes may still use then allows the key what
-        the one in force does not, such as the submissions of another
-        organisation.
-        """
-        now = self._clock.now()
-        current = ('', self.name_reader(key))
-        for table, until in self._replaced:
-            reader = name_reader(table, key, Standing(True))
-            if now < until and reader not in current:
-                return True
-        return False
-
     async def authorize_call(self, facts):
         """Decide on a call whose body has been read.
 
@@ -304,17 +340,24 @@
 
         return await self._decide(judge)
 
-    async def authorize_reader(self, key):
-        """Decide on a call on a submission that needs a key.
+    async def authorize_reader(self, key, denied):
+        """Decide on a call on a submission that its reader may not use.
 
-        :returns: an :class:`Access`; allowed if the key is valid
+        :param denied: organisation of the key that may not use it, as
+            :meth:`name_reader` returned it; '' without a valid key
+        :returns: an :class:`Access`; allowed if the key counts for another
+            organisation than ``denied``, which must be compared then
         """
 
         def judge(table, standing):
             reader = name_reader(table, key, standing)
             if reader == '':
                 return _refuse_unknown(standing, 'no valid key')
-            return Access(organisation=reader)
+            if reader != denied:
+                return Access(organisation=reader)
+            if standing.current:
+                return Access(NOT_FOUND, OTHER_ORGANISATION)
+            return Access(UNAVAILABLE, 'no current configuration')
 
         return await self._decide(judge)
 
@@ -325,7 +368,7 @@
             :class:`Access`
         """
         access = self._judge(judge)
-        if access.status != UNAUTHORISED:
+        if not access.depends_on_key:
             return access
         confirmed, retry_after_s = await self._reader.confirm()
         if not confirmed:
@@ -338,14 +381,14 @@
 
     def _judge(self, judge):
         access = judge(self._table, self._get_standing())
-        if access.status != UNAUTHORISED:
+        if not access.depends_on_key:
             return access
         now = self._clock.now()
         if now < self._settled_at:
-            return Access(UNAVAILABLE, 'started moments ago')
+            return Access(UNAVAILABLE, 'earlier keys not known')
         for table, until in self._replaced:
             if now < until and not judge(table, Standing(True)).status:
-                return Access(UNAVAILABLE, 'key not valid any more')
+                return Access(UNAVAILABLE, 'key changed moments ago')
         return access
 
     def _get_standing(self):
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -204,7 +204,7 @@
         setup = Setup()
         setup.start(build_table(1, {'n': 'north'}))
         assert await setup.decide('x') == 401
-        access = await setup.authorizer.authorize_reader('x')
+        access = await setup.authorizer.authorize_reader('x', '')
         # The table may have changed since the read before.
         assert access.status == 503
         assert access.retry_after_s > authorization.RETRY_AFTER_S
@@ -236,6 +236,24 @@
         assert statuses.count(401) == authorization.WAITING_MAX
         assert set(statuses) == {401, 503}
 
+    async def test_caller_that_returns_as_told_takes_part_in_a_read(self):
+        # With other wrong keys about, it would come just after each read.
+        setup = Setup()
+        setup.start(build_table(1, {'n': 'north'}))
+        await setup.decide('x')
+        access = await setup.authorizer.authorize_call(build_facts('y'))
+        assert access.status == 503
+
+        async def send_others():
+            while True:
+                task = asyncio.create_task(setup.decide('x'))
+                await asyncio.wait([task], timeout=0.01)
+
+        others = asyncio.create_task(send_others())
+        await asyncio.sleep(access.retry_after_s + 0.05)
+        assert await setup.decide('y') == 401
+        others.cancel()
+
     async def test_caller_that_leaves_does_not_end_the_read_of_others(self):
         setup = Setup()
         setup.start(build_table(1, {'n': 'north'}))
@@ -268,6 +286,26 @@
         setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
         assert await setup.decide('old') == 401
 
+    async def test_refusal_is_temporary_after_a_table_was_skipped(self):
+        # Another process may still use the skipped one, which has the key.
+        setup = Setup()
+        setup.start(build_table(1, {'n': 'north'}))
+        setup.authorizer.replace_table(build_table(3, {'n': 'north'}))
+        assert await setup.decide('x') == 503
+        setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
+        assert await setup.decide('x') == 401
+
+    async def test_refusal_is_temporary_after_very_many_changes(self):
+        # Only some of the replaced tables are kept.
+        setup = Setup()
+        setup.start(build_table(1, {'old': 'north'}))
+        last = 2 + authorization.REPLACED_TABLES_MAX
+        for version in range(2, last + 1):
+            setup.authorizer.replace_table(build_table(version, {}))
+        assert await setup.decide('old') == 503
+        setup.clock.time += APPLY_S + authorization.REPLACED_MARGIN_S
+        assert await setup.decide('old') == 401
+
     async def test_first_refusals_of_a_process_are_temporary(self):
         # The key may have been removed moments before its start.
         setup = Setup()
@@ -288,7 +326,7 @@
         assert await setup.decide('n') == 503
         assert await setup.decide('n', '/open/a') == 0
         assert setup.authorizer.name_reader('n') == ''
-        assert (await setup.authorizer.authorize_reader('n')).status == 503
+        assert (await setup.authorizer.authorize_reader('n', '')).status == 503
         assert not setup.reads
 
     async def test_process_that_is_cut_off_goes_on_by_default(self):
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -56,6 +56,10 @@
 ENDED_SUBMISSIONS_MAX = 2000
 
 
+class _Denied(Exception):
+    """The reader may not use the submission."""
+
+
 class Gateway(base.BaseProcess):
     """Serves callers and trainers over HTTP.
 
@@ -98,6 +102,7 @@
             settings.watch.routes_apply_s,
             self._clock,
         )
+        self._keyless_reads = authorization.KeylessReads()
         # Ended submissions, so that a repeated end needs no write: by id, the
         # OrganisationAnswer, None if it was not needed.
         self._ended = collections.OrderedDict()
@@ -431,9 +436,15 @@
         ambiguous = False
         while True:
             try:
-                if await self._accept(submission):
+                taken = await self._accept(submission)
+                if taken is None:
                     break
-                self._refuse(incoming, facts, 400, 'id is taken')
+                status = await self._judge_taken_id(
+                    taken, submission, facts.key, deadline
+                )
+                if status == 202:
+                    break
+                self._refuse(incoming, facts, status, 'id is taken')
                 return
             except errors.AmbiguousWrite as error:
                 ambiguous = True
@@ -451,6 +462,8 @@
                 self._refuse(incoming, facts, 504, reason)
                 return
             await asyncio.sleep(ACCEPT_RETRY_DELAY_S)
+        # An earlier submission of the id may have been ended and removed.
+        self._ended.pop(submission.id, None)
         self.metrics.count('submissions_total', verb='submit', status=202)
         self._log.info(
             'submission accepted',
@@ -465,30 +478,61 @@
     async def _accept(self, submission):
         """Record a submission.
 
-        :returns: whether it is recorded; False if another organisation has
-            recorded one with its id
+        :returns: None if it is recorded; the
+            :class:`~questions.OrganisationAnswer` of the recorded one if
+            another organisation seems to have used its id
         :raises errors.AmbiguousWrite: if it may be recorded
         :raises errors.PlatformError: if it is not recorded
         """
         if await self._ledger.accept(submission):
-            return True
+            return None
         if submission.organisation is None:
-            return True
+            return None
         try:
             found = await self._find_organisation(submission.id)
         except errors.PlatformError as error:
             raise errors.AmbiguousWrite(f'id is taken: {error}') from error
         if found is None:
             raise errors.AmbiguousWrite('id is taken, its record not found')
-        return authorization.may_repeat(
+        if authorization.may_repeat(
             found.organisation, submission.organisation
-        )
+        ):
+            return None
+        return found
+
+    async def _judge_taken_id(self, taken, submission, key, deadline):
+        """Decide on a submission whose id another organisation seems to use.
+
+        A newer manifest may give the key to that organisation, which then
+        repeats a submission that was accepted.
 
-    async def _find_organisation(self, submission_id):
+        :param taken: what :meth:`_accept` returned
+        :param deadline: loop time of the latest decision, in seconds
+        :returns: HTTP status: 202 for a repeat, 400 for a refusal, 504 if it
+            cannot be decided in time
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            access = await self._authorizer.authorize_reader(
+                key, submission.organisation
+            )
+            if access.status in (401, 404):
+                return 400
+            if not access.status:
+                repeats = authorization.may_repeat(
+                    taken.organisation, access.organisation
+                )
+                return 202 if repeats else 400
+            if loop.time() + access.retry_after_s > deadline:
+                return 504
+            await asyncio.sleep(access.retry_after_s)
+
+    async def _find_organisation(self, submission_id, reader=None):
         """Find the organisation of a submission.
 
         The leader knows it, so that the store is seldom asked.
 
+        :param reader: as for :meth:`_read_record`
         :returns: a :class:`~questions.OrganisationAnswer`; None if the
             submission is unknown
         :raises errors.PlatformError: if the ledger cannot be read
@@ -497,11 +541,27 @@
         answer = await self._ask_owner(question)
         if answer is not None:
             return answer
-        record = await self._ledger.read_record(submission_id)
+        record = await self._read_record(submission_id, reader)
         if record is None:
             return None
         return questions.OrganisationAnswer(record.submission.organisation)
 
+    async def _read_record(self, submission_id, reader):
+        """Read a submission's object from the ledger.
+
+        :param reader: organisation of the caller; '' without a valid key
+        :returns: as :meth:`~ledger.Ledger.read_record`
+        :raises errors.PlatformError: if it cannot be read, or too many
+            callers without a valid key cause reads
+        """
+        if reader == '':
+            now = asyncio.get_running_loop().time()
+            if not self._keyless_reads.take(now):
+                raise errors.PlatformUnavailable(
+                    'too many reads for calls without a valid key'
+                )
+        return await self._ledger.read_record(submission_id)
+
     async def _handle_batch(self, incoming, call):
         if self._routes.table is None:
             # Organisations may be in force.
@@ -511,26 +571,10 @@
             incoming.respond(503, headers, b'no configuration yet\n')
             return
         reader = self._authorizer.name_reader(call.key)
-        status, headers, body = await self._serve_batch(call, reader)
-        if status == authorization.UNAUTHORISED:
-            access = await self._authorizer.authorize_reader(call.key)
-            if access.status:
-                self._count_access_refusal(access)
-                status, headers = access.status, ()
-                if status == 503:
-                    headers = self._dialect.build_retry_headers(
-                        access.retry_after_s
-                    )
-                body = f'{access.reason}\n'.encode()
-            else:
-                status, headers, body = await self._serve_batch(
-                    call, access.organisation
-                )
-        elif status == 404 and self._authorizer.has_other_reader(call.key):
-            status = 503
-            headers = self._dialect.build_retry_headers(
-                NOT_READY_RETRY_AFTER_S
-            )
+        try:
+            status, headers, body = await self._serve_batch(call, reader)
+        except _Denied:
+            status, headers, body = await self._serve_denied(call, reader)
         self.metrics.count(
             'submissions_total', verb=call.verb.value, status=status
         )
@@ -543,13 +587,38 @@
             )
         incoming.respond(status, headers, body)
 
+    async def _serve_denied(self, call, denied):
+        """Serve a call on a submission that its reader may not use.
+
+        Another process may know a newer manifest, which allows it.
+
+        :param denied: as :meth:`~authorization.Authorizer.name_reader`
+            returned it
+        :returns: ``(status, headers, body)``
+        """
+        access = await self._authorizer.authorize_reader(call.key, denied)
+        if not access.status:
+            try:
+                return await self._serve_batch(call, access.organisation)
+            except _Denied:
+                # The next call is decided with the table that is known now.
+                access = authorization.Access(503, 'key changed moments ago')
+        self._count_access_refusal(access)
+        if access.status == 503:
+            headers = self._dialect.build_retry_headers(access.retry_after_s)
+            return 503, headers, f'{access.reason}\n'.encode()
+        if access.status == 404:
+            # The same response as for a submission that does not exist.
+            return 404, (), b''
+        return access.status, (), f'{access.reason}\n'.encode()
+
     async def _serve_batch(self, call, reader):
         """Serve a call on a submission.
 
         :param reader: as :meth:`~authorization.Authorizer.name_reader`
             returns it
-        :returns: ``(status, headers, body)``; the status is 401 if a valid
-            key is needed
+        :returns: ``(status, headers, body)``
+        :raises _Denied: if the reader may not use the submission
         """
         handle = {
             dialects.BatchVerb.READ_RESULTS: self._read_results,
@@ -565,6 +634,10 @@
                 verb=call.verb.value,
                 reason=str(error),
             )
+            if isinstance(error, errors.AmbiguousWrite):
+                # The end may be recorded, so the status must not say that
+                # the call was refused.
+                return 504, (), b''
             headers = self._dialect.build_retry_headers(STORE_RETRY_AFTER_S)
             return 503, headers, b''
 
@@ -590,13 +663,13 @@
         )
         answer = await self._ask_owner(question, call.wait_s)
         if isinstance(answer, questions.Denied):
-            return _get_missing_status(reader), (), b''
+            raise _Denied
         if answer is not None:
             page = answer.page
         else:
             page = await self._read_recorded(call, reader)
             if page is None:
-                return _get_missing_status(reader), (), b''
+                return _answer_missing(reader)
         headers = ((b'Content-Type', b'application/json'),)
         return 200, headers, self._dialect.encode_page(page)
 
@@ -604,20 +677,20 @@
         """Read a submission from the ledger.
 
         :returns: the :class:`~submissions.Submission`; None if it is unknown
-            or the reader may not use it
+        :raises _Denied: if the reader may not use it
         """
-        record = await self._ledger.read_record(submission_id)
+        record = await self._read_record(submission_id, reader)
         if record is None:
             return None
         if not authorization.may_use(record.submission.organisation, reader):
-            return None
+            raise _Denied
         return await self._ledger.complete(record)
 
     async def _read_recorded(self, call, reader=None):
         """Read a page of results from the ledger.
 
-        :returns: the page; None if the submission is unknown, or the reader
-            may not use it
+        :returns: the page; None if the submission is unknown
+        :raises _Denied: if the reader may not use it
         """
         submission = await self._read_submission(call.submission_id, reader)
         if submission is None:
@@ -632,7 +705,7 @@
         question = questions.ReadBody(call.submission_id, call.item_id, reader)
         answer = await self._ask_owner(question)
         if isinstance(answer, questions.Denied):
-            return _get_missing_status(reader), (), b''
+            raise _Denied
         if answer is not None:
             body = answer.body
         else:
@@ -640,7 +713,7 @@
                 call.submission_id, reader
             )
             if submission is None:
-                return _get_missing_status(reader), (), b''
+                return _answer_missing(reader)
             listed_ids = set()
             for chunk in await self._ledger.read_chunks(call.submission_id):
                 listed_ids.update(result.item_id for result in chunk.results)
@@ -659,21 +732,39 @@
         """
         await self._ask_owner(questions.SubmissionEnded(submission_id))
 
+    async def _repeat_end(self, submission_id):
+        """Record an end that may be recorded already.
+
+        :returns: whether the submission exists
+        :raises errors.AmbiguousWrite: if the store does not answer
+        """
+        try:
+            return await self._ledger.end(submission_id)
+        except errors.PlatformError as error:
+            raise errors.AmbiguousWrite(str(error)) from error
+
     async def _end_submission(self, call, reader):
         known = self._ended.get(call.submission_id)
-        if reader is not None:
-            if known is None:
-                known = await self._find_organisation(call.submission_id)
-            if known is None or not authorization.may_use(
-                known.organisation, reader
-            ):
-                return _get_missing_status(reader), (), b''
-        if call.submission_id not in self._ended:
+        ended = call.submission_id in self._ended
+        if reader is not None and (
+            known is None
+            or not authorization.may_use(known.organisation, reader)
+        ):
+            found = await self._find_organisation(call.submission_id, reader)
+            if found is None:
+                return _answer_missing(reader)
+            if not authorization.may_use(found.organisation, reader):
+                raise _Denied
+            if known is not None and found != known:
+                # Another organisation has used the id again since.
+                ended = False
+            known = found
+        if not ended:
             try:
                 found = await self._ledger.end(call.submission_id)
             except errors.AmbiguousWrite:
                 # The write is idempotent, so it can be repeated.
-                found = await self._ledger.end(call.submission_id)
+                found = await self._repeat_end(call.submission_id)
             if not found:
                 return 404, (), b''
             self._ended[call.submission_id] = known
@@ -688,11 +779,15 @@
         return await super()._answer(question)
 
 
-def _get_missing_status(reader):
-    """Return the status of a call on a submission that is not to be found.
+def _answer_missing(reader):
+    """Answer a call on a submission that does not exist.
 
     Without a valid key, a caller does not learn which submissions exist.
 
     :param reader: as :meth:`~authorization.Authorizer.name_reader` returns it
+    :returns: ``(status, headers, body)``
+    :raises _Denied: if the reader has no valid key
     """
-    return authorization.UNAUTHORISED if reader == '' else 404
+    if reader == '':
+        raise _Denied
+    return 404, (), b''
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -4,6 +4,7 @@
 Submissions must be of use to their organisation only.
 """
 
+import asyncio
 import json
 
 import pytest
@@ -289,6 +290,7 @@
             assert await access.call(path, NORTH, method=method) == 200
         assert access.store.get_status('submissions', 's1')
         # A repeated end is answered without the store.
+        access.forget_refusals()
         assert await access.call('/api/lots/s1', SOUTH, method='DELETE') == 404
 
     async def test_end_costs_one_call_to_the_store(self, access, wait_until):
@@ -377,3 +379,122 @@
         assert await book.read('s1') == parts['south']
         await book.remove('s1', 0, 3, 'south')
         assert await book.read('s1') is None
+
+    async def test_end_that_may_be_recorded_is_not_refused(
+        self, access, monkeypatch
+    ):
+        # 503 would promise that the submission was not ended.
+        assert await self.submit(access, 's1', NORTH) == 202
+        failures = [
+            errors.AmbiguousWrite('no response'),
+            errors.PlatformUnavailable('status 503'),
+        ]
+
+        async def fail(*arguments):
+            raise failures.pop(0)
+
+        monkeypatch.setattr(ledgers.Ledger, 'end', fail)
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 504
+        assert not failures
+        failures.append(errors.PlatformUnavailable('status 503'))
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 503
+
+    @pytest.mark.parametrize('leader', [True, False])
+    async def test_key_given_to_another_organisation_is_used_at_once(
+        self, access, leader, monkeypatch
+    ):
+        """A 404 from a late gateway would deny what the manifest allows."""
+        assert await self.submit(access, 's1', NORTH) == 202
+        if not leader:
+
+            async def fail(*arguments):
+                raise errors.NotReady('no leader')
+
+            monkeypatch.setattr(leaders.LeaderClient, 'ask', fail)
+        access.gateway._route_watcher._on_objects = lambda *changes: None
+        access.put([{'name': 'north', 'apiKeys': [SOUTH]}])
+        assert await access.call('/api/lots/s1', SOUTH, method='GET') == 200
+
+    async def test_late_gateway_that_is_cut_off_gives_no_404(self, access):
+        # The key may belong to the submission's organisation by now.
+        assert await self.submit(access, 's1', NORTH) == 202
+        access.gateway._route_watcher.current = False
+        for method in ('GET', 'DELETE'):
+            status = await access.call('/api/lots/s1', SOUTH, method=method)
+            assert status == 503
+        access.gateway._route_watcher.current = True
+        assert not access.store.get_status('submissions', 's1')
+
+    async def test_unknown_submission_is_not_found_without_a_read(
+        self, access
+    ):
+        # Calls are priced, and no manifest allows what does not exist.
+        await access.change([{'name': 'south', 'apiKeys': [NORTH]}])
+        status = await access.call('/api/lots/s9', NORTH, method='GET')
+        assert status == 404
+        assert access.gateway._authorizer._reader._started_at is None
+
+    async def test_end_of_a_later_submission_of_the_same_id(self, access):
+        # An end that is remembered would deny the new one's own key.
+        assert await self.submit(access, 's1', NORTH) == 202
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 200
+        for keeper in access.deployment.keepers.values():
+            if keeper._owner is not None:
+                entry = keeper._owner.open_submissions['s1']
+                await keeper._owner._remove_submission(entry)
+        for name in ('i-lm0', 'i-lm1'):
+            access.servers[name].gap_s = 5.0
+        assert await self.submit(access, 's1', SOUTH) == 202
+        access.forget_refusals()
+        assert await access.call('/api/lots/s1', NORTH, method='DELETE') == 404
+        assert not access.store.get_status('submissions', 's1')
+        assert await access.call('/api/lots/s1', SOUTH, method='DELETE') == 200
+        assert access.store.get_status('submissions', 's1')
+
+    async def test_repeat_through_a_late_gateway_is_not_refused(self, access):
+        # The submission was accepted, and 400 would tell its owner otherwise.
+        for path in ('/openbatch/', '/batch/'):
+            submission_id = f's{len(path)}'
+            status = await self.submit(access, submission_id, NORTH, path=path)
+            assert status == 202
+            access.forget_refusals()
+            key = 'new' if path == '/openbatch/' else SOUTH
+            route_watcher = access.gateway._route_watcher
+            on_objects = route_watcher._on_objects
+            route_watcher._on_objects = lambda *changes: None
+            access.put([{'name': 'north', 'apiKeys': [NORTH, key]}])
+            status = await self.submit(access, submission_id, key, path=path)
+            assert status == 202
+            route_watcher._on_objects = on_objects
+
+    async def test_taken_id_is_refused_after_another_refusal(self, access):
+        # 504 would let the other one repeat a submission that cannot run.
+        assert await self.submit(access, 's1', NORTH) == 202
+        for _ in range(2):
+            assert await self.submit(access, 's1', SOUTH) == 400
+
+    async def test_reads_for_callers_without_a_key_are_limited(
+        self, access, monkeypatch
+    ):
+        # Anybody could cause a priced call to the store by each request.
+        reads = []
+        read_record = ledgers.Ledger.read_record
+
+        async def count(ledger, submission_id):
+            reads.append(submission_id)
+            return await read_record(ledger, submission_id)
+
+        monkeypatch.setattr(ledgers.Ledger, 'read_record', count)
+        calls = []
+        for number in range(25):
+            for method, path in (
+                ('GET', '/api/lots/'),
+                ('DELETE', '/api/lots/'),
+                ('GET', '/api/items/'),
+            ):
+                calls.append(
+                    access.call(f'{path}x{number}', WRONG, method=method)
+                )
+        assert set(await asyncio.gather(*calls)) <= {401, 503}
+        assert 0 < len(reads) < 25
+        assert await access.call('/api/lots/x', NORTH, method='GET') == 404
