Learn lasting speeds of endpoints apart from noise

Cause: a quarter of the endpoints are half as fast as the others for good, and the smoothed pace of 0.6 s cannot tell that from a noisy neighbour. A restarted instance starts anew. Nothing uses it yet.

--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -2,6 +2,7 @@
 
 import math
 
+from clementineline.coordination import speeds
 from clementineline.transport import frames
 
 __all__ = ['LOAD_TTL_S', 'Directory', 'EndpointState']
@@ -26,12 +27,15 @@
     :ivar versions: dict from model to the last known weights version
     :ivar loading_models: models whose version is being changed by an order
     :ivar in_flight: number of requests of this process at the endpoint
+    :ivar open_calls: dict from each call of this process at the endpoint to
+        the loop time of its start, in seconds; a part of ``in_flight``
     :ivar item_runs: :class:`~itemruns.ItemRun` of each item that this process
         runs at the endpoint, or has reserved a slot for
     :ivar other_requests: requests of other processes, as last reported
     :ivar queued: requests that wait at the endpoint, as last reported
     :ivar slowness: duration of work at the endpoint relative to normal, as
         last reported; 1.0 for normal speed
+    :ivar speed: the :class:`~speeds.SpeedTracker` of the instance
     :ivar limit: the :class:`~ratelimits.EndpointLimit`; None for no limit
     :ivar load_at: loop time of the last load report, in seconds
     :ivar pace_s: smoothed time for an event, in seconds, or None
@@ -54,6 +58,7 @@
         'limit',
         'load_at',
         'loading_models',
+        'open_calls',
         'other_requests',
         'pace_at',
         'pace_s',
@@ -62,6 +67,7 @@
         'says_that_it_leaves',
         'slow_since',
         'slowness',
+        'speed',
         'versions',
     )
 
@@ -71,6 +77,7 @@
         self.versions = dict(record.versions)
         self.says_that_it_leaves = False
         self.in_flight = 0
+        self.open_calls = {}
         self.item_runs = set()
         self.other_requests = 0
         self.load_at = -LOAD_TTL_S
@@ -78,6 +85,7 @@
         self.limit = None
         self.slow_since = None
         self.slowness = 1.0
+        self.speed = speeds.SpeedTracker()
         self.failures = 0
         self.backoff_until = 0.0
         self.expires_at = None
@@ -113,6 +121,7 @@
         if restarted:
             self.limit = None
             self.says_that_it_leaves = False
+            self.speed = speeds.SpeedTracker()
         for model, version in record.versions.items():
             if restarted or version > self.versions.get(model, 0):
                 self.versions[model] = version
@@ -142,6 +151,7 @@
         self.load_at = now
         self.queued = facts.waiting
         self.slowness = facts.slowness
+        self.speed.add_report(facts.slowness, now)
 
     def update_pace(self, event_s, now):
         """Update the smoothed pace with the time that an event took.
--- a/src/clementineline/coordination/tests/test_directory.py
+++ b/src/clementineline/coordination/tests/test_directory.py
@@ -46,6 +46,15 @@
         known.apply([], ['a'], False, False)
         assert list_names(known) == []
 
+    def test_restarted_instance_has_no_known_speed(self, known):
+        """Guards against a new instance that is avoided for the old one."""
+        known.apply([build_object('a')], [], True, False)
+        before = known.endpoints['a'].speed
+        known.apply([build_object('a', leaving=True)], [], False, False)
+        assert known.endpoints['a'].speed is before
+        known.apply([build_object('a', born_ms=6)], [], False, False)
+        assert known.endpoints['a'].speed is not before
+
     def test_entry_lapsed_in_outage_has_time_to_reappear(self, known, clock):
         known.apply([build_object('a'), build_object('b')], [], True, False)
         known.apply([], ['a', 'b'], False, True)
