Describe all gauges, so that scrapes do not fail

Cause: requests_with_crashes, requests_not_sent_again, response_bytes, responses_ended and endpoints_leaving had no entry in metrics.DESCRIPTIONS, so each scrape of a gateway or keeper raised KeyError. Change: the entries. Measured: platform/tests/test_rendering.py renders a running gateway and leader; it failed with KeyError 'requests_with_crashes' and passes now.

--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -51,6 +51,11 @@
     'endpoints': 'Endpoints that are known.',
     'endpoint_requests_total': 'Requests sent to endpoints, by purpose.',
     'endpoints_limited': 'Endpoints that name a limit of requests a second.',
+    'endpoints_leaving': 'Endpoints that said that they leave.',
+    'requests_with_crashes': 'Requests under which an endpoint has ended.',
+    'requests_not_sent_again': 'Requests not sent after they ended endpoints.',
+    'response_bytes': 'Bytes of the responses that are being received.',
+    'responses_ended': 'Responses that were ended for lack of memory.',
     'log_lines_dropped': 'Log lines left out since their reader was slow.',
 }
 
