Use expected completion in gateways and keepers

Cause: processes placed by load whatever they had seen of their endpoints. Change: gateways and keepers learn from the calls, streams, items and reward calls that they send, and place by expected completion where the rule is fulfilled. The key placement of the settings, auto or least_loaded, allows it or turns it off, also when the settings are reloaded. The lines attempt, stream attempt and item run have the expected time, the work ahead, the speed and the estimate where it decided. Five gauges show what is learned.

--- a/src/clementineline/coordination/directory.py
+++ b/src/clementineline/coordination/directory.py
@@ -151,7 +151,8 @@
         self.load_at = now
         self.queued = facts.waiting
         self.slowness = facts.slowness
-        self.speed.add_report(facts.slowness, now)
+        if facts.slowness is not None:
+            self.speed.add_report(facts.slowness, now)
 
     def update_pace(self, event_s, now):
         """Update the smoothed pace with the time that an event took.
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 
+from clementineline.coordination import completion
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
 from clementineline import errors
@@ -28,16 +29,19 @@
 
     :param last_event: number of the last event that the caller has
     :ivar head_sent: whether the head of the response was sent to the caller
+    :ivar placed_by: the :class:`~completion.Choice` of the last endpoint;
+        None if it was chosen by load
     :ivar tried: ids of the endpoints that the request was sent to
     :ivar refused: ids of the endpoints that it was not sent to, because of
         their limits
     """
 
-    __slots__ = ('head_sent', 'last_event', 'refused', 'tried')
+    __slots__ = ('head_sent', 'last_event', 'placed_by', 'refused', 'tried')
 
     def __init__(self, last_event):
         self.head_sent = False
         self.last_event = last_event
+        self.placed_by = None
         self.tried = []
         self.refused = []
 
@@ -65,18 +69,31 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :param learned: the :class:`~completion.CompletionModel`; None to choose
+        endpoints by load
     """
 
     __slots__ = (
         '_crash_record',
         '_dialect',
         '_directory',
+        '_learned',
         '_log',
         '_pool',
         '_zone',
     )
 
-    def __init__(self, directory, pool, dialect, zone, crash_record, log):
+    def __init__(
+        self,
+        directory,
+        pool,
+        dialect,
+        zone,
+        crash_record,
+        log,
+        learned=None,
+    ):
+        self._learned = learned
         self._crash_record = crash_record
         self._dialect = dialect
         self._directory = directory
@@ -106,12 +123,15 @@
                 )
                 break
             refusals = len(stream.refused)
-            state = forwarding.choose_endpoint(
+            state, stream.placed_by = forwarding.place_call(
+                self._learned,
+                service,
+                route.name,
                 self._directory.list_usable(service),
                 [*stream.tried, *stream.refused],
                 self._zone,
                 asyncio.get_running_loop().time(),
-                unlimited=refusals >= forwarding.LIMIT_REFUSALS_MAX,
+                refusals >= forwarding.LIMIT_REFUSALS_MAX,
             )
             if state is None:
                 break
@@ -139,7 +159,10 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         first = stream.last_event
+        placed_by = stream.placed_by
         state.in_flight += 1
+        call = object()
+        state.open_calls[call] = started
         verdict = None
         sent = True
         try:
@@ -156,6 +179,7 @@
             verdict = verdicts.MayHaveRun('time limit')
         finally:
             state.in_flight -= 1
+            del state.open_calls[call]
             self._log.info(
                 'stream attempt',
                 request=incoming.request_id,
@@ -169,8 +193,17 @@
                 if verdict
                 else 'cancelled',
                 reason=getattr(verdict, 'reason', None),
+                **(placed_by.list_fields() if placed_by else {}),
             )
         if isinstance(verdict, verdicts.Answered):
+            if (
+                self._learned is not None
+                and verdict.status < 300
+                and not first
+            ):
+                self._learned.learn_stream(
+                    state, route.name, loop.time() - started
+                )
             state.record_success()
             self._crash_record.clear(
                 incoming.head, incoming.body, incoming.request_id
@@ -221,7 +254,12 @@
                     200, http.strip_connection_headers(headers)
                 )
             verdict = await self._relay(
-                stream, incoming, client, gap_s, route.resumable
+                stream,
+                incoming,
+                client,
+                gap_s,
+                route.resumable,
+                completion.PaceObserver(self._learned, state, route.name, ''),
             )
             complete = isinstance(verdict, verdicts.Answered)
             return verdict
@@ -256,7 +294,7 @@
             return verdicts.MayHaveRun(f'no stream: status {status}')
         return verdicts.Answered(status, headers, body)
 
-    async def _relay(self, stream, incoming, client, gap_s, consecutive):
+    async def _relay(self, stream, incoming, client, gap_s, consecutive, pace):
         """Relay complete events; hold back an event until it is complete.
 
         Bytes that are no event end the attempt: they may be another response
@@ -266,6 +304,7 @@
             that complete no event do not count
         :param consecutive: whether each event has the number after that of
             the event before it
+        :param pace: the :class:`~completion.PaceObserver`
         :returns: a verdict
         """
         relayed = 0
@@ -278,6 +317,7 @@
                 data = await client.receive_data()
             if data is None:
                 break
+            events_before = relayed
             for number, raw in splitter.feed(data):
                 if not raw.strip():
                     continue
@@ -290,6 +330,7 @@
                     stream.last_event = number
                     event_at = loop.time()
                 incoming.send(raw)
+            pace.add(relayed - events_before, loop.time())
             await incoming.drain()
         if splitter.has_partial:
             return verdicts.MayHaveRun('stream ended within an event')
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -11,6 +11,7 @@
 
 from clementineline.coordination import carryover
 from clementineline.coordination import forwarding
+from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
 from clementineline.coordination import memory
@@ -57,6 +58,7 @@
     :param replicator: the :class:`~texts.TextReplicator`
     :param scorer: the :class:`~scoring.RewardScorer`
     :param limits: the :class:`~ratelimits.RateLimits`
+    :param learned: the :class:`~completion.CompletionModel`
     :param list_assigned: function from a service and a model to the engines
         assigned to the model, or None if all engines of the service are used
     :ivar open_submissions: dict from submission id to its
@@ -75,6 +77,7 @@
         '_dialect',
         '_directory',
         '_get_routes',
+        '_learned',
         '_ledger',
         '_limits',
         '_list_assigned',
@@ -111,8 +114,10 @@
         replicator,
         scorer,
         limits,
+        learned,
         list_assigned,
     ):
+        self._learned = learned
         self._ledger = submission_ledger
         self._directory = directory
         self._pool = pool
@@ -234,7 +239,9 @@
         for item in submission.items:
             if item.id in entry.positions:
                 continue
-            run = itemruns.ItemRun(item)
+            run = itemruns.ItemRun(
+                item, kind=(submission.route, submission.model)
+            )
             carryover.restore_text(
                 self._cache,
                 submission,
@@ -440,6 +447,7 @@
     def _start_run(self, entry, run, state, now):
         run.state = state
         run.started_at = now
+        run.waits_since = None
         if not run.first_started_at:
             run.first_started_at = now
         state.item_runs.add(run)
@@ -464,6 +472,7 @@
             target.item_runs.discard(run)
         if self._stopped or entry.ended or run.item.id not in entry.runs:
             return
+        run.placed_by = None
         if target is None or target.limit is not None:
             entry.waiting.append(run)
             self.wake()
@@ -494,28 +503,59 @@
         def fits(state):
             return self._has_memory(state, run)
 
+        def build():
+            return itemplacement.build_placer(
+                self._learned,
+                engines,
+                *criteria,
+                submission,
+                self._get_service,
+            )
+
         if run.versions and self._is_single_version(submission):
             # Engines that hold one version, for this run alone.
-            shortlist = placement.EngineShortlist(engines, *criteria)
+            placer = build()
         else:
-            _, shortlist = shortlists.get(id(engines), (None, None))
-            if shortlist is None:
-                shortlist = placement.EngineShortlist(engines, *criteria)
-                shortlists[id(engines)] = (engines, shortlist)
-        state = shortlist.choose(run.avoid, fits)
+            _, placer = shortlists.get(id(engines), (None, None))
+            if placer is None:
+                placer = build()
+                shortlists[id(engines)] = (engines, placer)
+        if isinstance(placer, itemplacement.ItemPlacer):
+            return self._place(placer, run, fits, now)
+        run.placed_by = None
+        state = placer.choose(run.avoid, fits)
         if state is None and run.avoid:
             run.avoid = set()
         return state
 
+    def _place(self, placer, run, fits, now):
+        """Choose an engine by expected completion; None to wait."""
+        run.placed_by = placer.choose(run, run.avoid, fits)
+        if run.placed_by is not None:
+            return run.placed_by.state
+        if placer.waits:
+            if run.waits_since is None:
+                run.waits_since = now
+                self._learned.held += 1
+        elif run.avoid:
+            run.avoid = set()
+        return None
+
     async def _run_item(self, entry, run, state):
         submission = entry.submission
         loop = asyncio.get_running_loop()
         started = loop.time()
         resumed_after = len(run.texts)
+        placed_by = run.placed_by
         end, reason = itemruns.RunEnd.BROKEN, 'cancelled'
         try:
             end, reason = await itemruns.run_item(
-                submission, run, state, self._pool, self._dialect
+                submission,
+                run,
+                state,
+                self._pool,
+                self._dialect,
+                self._learned,
             )
         finally:
             state.item_runs.discard(run)
@@ -535,6 +575,7 @@
                 took_ms=round((loop.time() - started) * 1000),
                 end=end,
                 reason=reason,
+                **(placed_by.list_fields() if placed_by else {}),
             )
             if run.moving:
                 self._resume_run(entry, run)
@@ -555,6 +596,7 @@
                 run.forget_text()
                 entry.waiting.insert(0, run)
                 return
+            self._learn(entry.submission, run, state)
             self._complete(entry, run)
             return
         if end is run_ends.IMPOSSIBLE:
@@ -577,6 +619,18 @@
             run.not_before = now + BROKEN_RETRY_DELAY_S
         entry.waiting.insert(0, run)
 
+    def _learn(self, submission, run, state):
+        """Learn the length of a complete item."""
+        service = self._get_service(state)
+        event_tokens = service.event_tokens if service else 1
+        self._learned.learn_item(
+            state.record.service,
+            submission.route,
+            submission.model,
+            run.item.length_hint,
+            len(run.texts) * event_tokens,
+        )
+
     def _complete(self, entry, run):
         """Add the result of a whole text, after its reward call if any."""
         if run.item.reward_call is None:
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -5,6 +5,7 @@
 import math
 
 from clementineline import clocks
+from clementineline.coordination import completion
 from clementineline.coordination import connections
 from clementineline.coordination import crashes
 from clementineline.coordination import directory
@@ -102,6 +103,12 @@
             log,
         )
         self._crash_record.on_ended = self._handle_ended_instances
+        self._learned = completion.CompletionModel(
+            self._directory.list_usable,
+            settings.zone,
+            log,
+            settings.placement == completion.AUTO,
+        )
         self._pool.on_leaving = self._directory.mark_leaving
         store.relay = members.StoreRelay(self._members, log).call
         self.metrics = metrics.Metrics(
@@ -164,6 +171,7 @@
         effect at the next start.
         """
         self._settings = settings
+        self._learned.enabled = settings.placement == completion.AUTO
         self._log.info('settings reloaded')
 
     def _collect_metrics(self, process_metrics):
@@ -183,6 +191,21 @@
         )
         limited = self._limits.list_limited()
         process_metrics.set('endpoints_limited', len(limited))
+        process_metrics.set('cost_kinds', len(self._learned.costs))
+        process_metrics.set('items_held', self._learned.held)
+        for service, view in self._learned.list_views():
+            known = view.speeds.values()
+            process_metrics.set(
+                'placed_by_completion',
+                int(view.in_effect and self._learned.enabled),
+                service=service,
+            )
+            process_metrics.set(
+                'endpoint_speed_min', min(known, default=1.0), service=service
+            )
+            process_metrics.set(
+                'endpoint_speed_max', max(known, default=1.0), service=service
+            )
 
     def _handle_ended_instances(self, instances):
         """Let endpoints that others found to have ended get requests last."""
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -64,6 +64,7 @@
             settings.zone,
             self._crash_record,
             log,
+            self._learned,
         )
         self._stream_forwarder = streaming.StreamForwarder(
             self._directory,
@@ -72,6 +73,7 @@
             settings.zone,
             self._crash_record,
             log,
+            self._learned,
         )
         self._leader_client = leaders.LeaderClient(store, log)
         # Ids of ended submissions, so that a repeated end needs no write.
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -72,6 +72,7 @@
             settings.zone,
             self._crash_record,
             log,
+            self._learned,
         )
         self._scorer = scoring.RewardScorer(
             forwarder,
@@ -224,6 +225,7 @@
             self._text_replicator,
             self._scorer,
             self._limits,
+            self._learned,
             self._list_assigned,
         )
         version_updater = versions.VersionUpdater(
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -56,6 +56,11 @@
     'requests_not_sent_again': 'Requests not sent after they ended endpoints.',
     'response_bytes': 'Bytes of the responses that are being received.',
     'responses_ended': 'Responses that were ended for lack of memory.',
+    'cost_kinds': 'Kinds of requests whose costs are learned.',
+    'items_held': 'Items that waited for a faster engine than a free one.',
+    'placed_by_completion': 'Whether expected completion decides placement.',
+    'endpoint_speed_min': 'Lowest learned lasting speed, 1 for the median.',
+    'endpoint_speed_max': 'Highest learned lasting speed, 1 for the median.',
     'log_lines_dropped': 'Log lines left out since their reader was slow.',
 }
 
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -68,6 +68,7 @@
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    placement: settings.Placement = 'auto'
 
 
 def _load(path):
@@ -118,6 +119,7 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        placement=boot.placement,
     )
 
 
@@ -146,4 +148,5 @@
         value_bytes=boot.platform.value_bytes,
         watch=_build_watch_settings(boot),
         response_bytes=_derive_response_bytes(boot),
+        placement=boot.placement,
     )
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -18,6 +18,7 @@
     'GatewaySettings',
     'KeeperSettings',
     'LeaseSettings',
+    'Placement',
     'PolicySettings',
     'SidecarSettings',
     'load_settings',
@@ -31,6 +32,7 @@
 RESPONSE_BYTES = 32 * 1024 * 1024
 VALUE_MAX_BYTES = 1024 * 1024
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+Placement = typing.Literal['auto', 'least_loaded']
 Name = typing.Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
 ]
@@ -251,6 +253,8 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param placement: ``auto`` to place requests by expected completion where
+        that is worthwhile, ``least_loaded`` to place them by load always
     """
 
     name: Name
@@ -264,6 +268,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    placement: Placement = 'auto'
 
 
 class KeeperSettings(_Settings):
@@ -282,6 +287,8 @@
     :param watch: times within which a change in the store must be in force
     :param response_bytes: bytes that all responses which are being received
         may hold together
+    :param placement: ``auto`` to place requests by expected completion where
+        that is worthwhile, ``least_loaded`` to place them by load always
     """
 
     name: Name
@@ -295,6 +302,7 @@
     value_bytes: PositiveInt = VALUE_MAX_BYTES
     watch: WatchSettings = WatchSettings()
     response_bytes: PositiveInt = RESPONSE_BYTES
+    placement: Placement = 'auto'
 
 
 def _check_addresses(value, where):
