Measure the prefill of prompts by the first events of items

Cause: the cost of a prompt was a constant. Change: the time from the request to the first event, beyond that of an event at the engine's speed, is learned for each kind. Measured: the new test in test_completion.py, which failed before, and test_placement.py and test_path.py pass.

--- a/src/clementineline/coordination/completion.py
+++ b/src/clementineline/coordination/completion.py
@@ -265,18 +265,35 @@
         median = self.costs.find_median(kind)
         if median is not None:
             state.speed.add(math.log(took_s / median), now)
+        self.costs.learn(kind, 0.0, took_s * self._get_speed(state))
+
+    def learn_prefill(
+        self, state, route, model, prompt_tokens, first_s, event_tokens
+    ):
+        """Learn what the prompt of a run costs, from its first event.
+
+        :param first_s: time from the request to the first event, in seconds
+        :param event_tokens: number of tokens in an event
+        """
+        median_s = self.costs.find_median(('event', route, model))
+        if median_s is None:
+            return
+        event_s = median_s / self._get_speed(state)
+        prefill_s = max(0.0, first_s - event_s)
+        self.costs.learn_prefill(
+            (route, model), prompt_tokens, prefill_s / event_s * event_tokens
+        )
+
+    def _get_speed(self, state):
         view = self._views.get(state.record.service)
-        speed = 1.0 if view is None else view.speeds.get(state.id, 1.0)
-        self.costs.learn(kind, 0.0, took_s * speed)
+        return 1.0 if view is None else view.speeds.get(state.id, 1.0)
 
     def learn_stream(self, state, route, took_s):
         """Learn the duration of a complete stream.
 
         The speed of its endpoint is learned from the events.
         """
-        view = self._views.get(state.record.service)
-        speed = 1.0 if view is None else view.speeds.get(state.id, 1.0)
-        self.costs.learn(('call', route), 0.0, took_s * speed)
+        self.costs.learn(('call', route), 0.0, took_s * self._get_speed(state))
 
     def learn_item(self, service, route, model, hint, tokens):
         """Learn the length of a completed item.
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -53,6 +53,8 @@
     :param kind: kind of its cost in the :class:`~costs.CostModel`
     :param waits_since: loop time since which it waits for a faster engine
         than one that is free, in seconds, or None
+    :param first_event_s: time from its request to its first event, in
+        seconds; None if it was resumed, or has no event
     :param placed_by: the :class:`~completion.Choice` of its engine; None if it
         was placed by load
     :param carried: whether its group was started in an earlier submission
@@ -101,6 +103,7 @@
     scoring_task: asyncio.Task | None = None
     kind: tuple = ()
     waits_since: float | None = None
+    first_event_s: float | None = None
     placed_by: object = None
 
     def forget_text(self):
@@ -154,12 +157,14 @@
         return RunEnd.UNREACHED, str(error)
     reusable = False
     run.last_event_at = None
+    run.first_event_s = None
     run.run_id = uuid.uuid4().hex
     try:
         head = dialect.build_item_call(
             submission, run.item, state.record, len(run.texts)
         )
         client.send_request(head, run.item.body)
+        sent_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(RESPONSE_HEAD_TIMEOUT_S):
             reply = await client.receive_head()
         headers = tuple(reply.headers.raw_items())
@@ -177,7 +182,14 @@
             learned, state, submission.route, submission.model
         )
         end = await _read_stream(
-            submission, run, state, client, facts.version, dialect, pace
+            submission,
+            run,
+            state,
+            client,
+            facts.version,
+            dialect,
+            pace,
+            sent_at,
         )
         reusable = end[0] is RunEnd.COMPLETED
         return end
@@ -207,17 +219,21 @@
     return RunEnd.BROKEN, f'status {status}'
 
 
-async def _read_stream(submission, run, state, client, version, dialect, pace):
+async def _read_stream(
+    submission, run, state, client, version, dialect, pace, sent_at
+):
     """Append the events of a response to the run's text.
 
     :param client: the connection, after the head of the response
     :param version: weights version that the head names, or None
     :param pace: the :class:`~completion.PaceObserver`
+    :param sent_at: loop time of the request, in seconds
     :returns: ``(end, reason)``
     """
     loop = asyncio.get_running_loop()
     reader = events.EventReader()
     previous_at = None
+    resumed = bool(run.texts)
     if version is not None and submission.model:
         state.versions[submission.model] = version
         if version < submission.version_min:
@@ -252,6 +268,8 @@
             now = loop.time()
             if previous_at is not None:
                 state.update_pace((now - previous_at) / len(found), now)
+            elif not resumed:
+                run.first_event_s = now - sent_at
             previous_at = now
             pace.add(len(found), now)
             deadline = now + DATA_TIMEOUT_S
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -623,6 +623,15 @@
         """Learn the length of a complete item."""
         service = self._get_service(state)
         event_tokens = service.event_tokens if service else 1
+        if run.first_event_s is not None:
+            self._learned.learn_prefill(
+                state,
+                submission.route,
+                submission.model,
+                run.item.prompt_tokens,
+                run.first_event_s,
+                event_tokens,
+            )
         self._learned.learn_item(
             state.record.service,
             submission.route,
--- a/src/clementineline/coordination/tests/test_completion.py
+++ b/src/clementineline/coordination/tests/test_completion.py
@@ -116,6 +116,19 @@
         assert [s and s.id for s in first] == [s and s.id for s in second]
 
 
+class TestPrefill:
+    def test_prompt_is_measured_by_the_first_event(self):
+        """Guards against long prompts that count as nothing."""
+        states = [placementload.build_state(name, 6) for name in 'ab']
+        model = build_model(states)
+        for _ in range(100):
+            model.costs.learn(('event', 'r', 'm0'), 0, 0.04)
+            # 400 ms after the time of one event: ten events of four tokens.
+            model.learn_prefill(states[0], 'r', 'm0', 800, 0.44, 4)
+        estimate = model.costs.estimate(('r', 'm0'), 10, 800)
+        assert estimate.prompt == pytest.approx(40, rel=0.05)
+
+
 class TestChooseEndpoint:
     def test_fast_endpoint_is_chosen_until_its_wait_is_longer(self):
         """Guards against half the calls at an endpoint half as fast."""
