Add a command that tells where a request would go now

Cause: an operator cannot see why a request goes to an endpoint but from the log lines of earlier ones. Change: clementineline where asks a gateway or keeper over its port for other processes. The answer is made by the code that places requests, with permits that are neither asked for nor used; nothing is sent or reserved.

--- a/src/clementineline/commands/main.py
+++ b/src/clementineline/commands/main.py
@@ -12,6 +12,7 @@
 
 from clementineline.commands import operator
 from clementineline.commands import processes
+from clementineline.commands import where
 from clementineline import errors
 from clementineline.state import settings
 
@@ -70,6 +71,9 @@
     print(f'{file}: valid {kind}')
 
 
+app.command(where.where)
+
+
 def run():
     """Run the command line and exit with the command's code."""
     try:
--- a/src/clementineline/coordination/itemplacement.py
+++ b/src/clementineline/coordination/itemplacement.py
@@ -339,14 +339,14 @@
     version_min,
     now,
     limits,
-    submission,
+    kind,
     get_service,
 ):
     """Build what chooses the engines of a submission's items in a round.
 
     :param learned: the :class:`~completion.CompletionModel`
     :param candidates: see :class:`ItemPlacer`, as the further parameters
-    :param submission: the items' :class:`~submissions.Submission`
+    :param kind: names of the items' route and model
     :param get_service: function from an engine to its
         :class:`~routes.ServiceTarget`, or None
     :returns: an :class:`ItemPlacer` if placement by expected completion is in
@@ -369,7 +369,7 @@
         limits,
         view,
         learned,
-        learned.get_event_s(submission.route, submission.model),
+        learned.get_event_s(*kind),
         service.event_tokens if service else 1,
     )
 
--- /dev/null
+++ b/src/clementineline/coordination/preview.py
@@ -0,0 +1,117 @@
+"""Where a request or item would go now, without sending it.
+
+The decision is made by the code that places requests. Nothing is reserved, and
+no permit of an endpoint with a limit is asked for or used.
+"""
+
+from clementineline.coordination import forwarding
+from clementineline.coordination import itemplacement
+from clementineline.coordination import itemruns
+from clementineline.state import questions
+from clementineline.state import submissions
+
+__all__ = ['preview_request']
+
+
+class _UnusedPermits:
+    """Permits that are there already; none is asked for or used."""
+
+    def may_start(self, state):
+        return state.limit is None or bool(state.limit.unused)
+
+    def reserve(self, state):
+        """Reserve nothing."""
+
+
+def preview_request(question, table, learned, list_engines, zone, now):
+    """Return where a request would go now, and why.
+
+    :param question: the :class:`~questions.PreviewRequest`
+    :param table: the :class:`~routes.RouteTable` in force, or None
+    :param learned: the :class:`~completion.CompletionModel`
+    :param list_engines: function from a service and a model, empty for a call,
+        to the endpoints that may get the request
+    :param zone: availability zone of this process
+    :param now: loop time, in seconds
+    :returns: a :class:`~questions.PreviewAnswer` with a choice for each
+        service of the route, of which requests choose one by weight
+    """
+    if table is None:
+        return questions.PreviewAnswer('', 'no route table is known', [])
+    route = table.match(question.host, question.path)
+    if route is None:
+        return questions.PreviewAnswer('', 'no route matches', [])
+    choices = []
+    for target in route.targets:
+        service = table.services.get(target.service)
+        candidates = list_engines(target.service, question.model)
+        if route.batch:
+            state, choice, waits = _place_item(
+                question, route, service, candidates, learned, now
+            )
+        else:
+            state, choice = forwarding.place_call(
+                learned, target.service, route.name, candidates, [], zone, now
+            )
+            waits = False
+        choices.append(
+            questions.PreviewChoice(
+                service=target.service,
+                weight=target.weight,
+                endpoint='' if state is None else state.id,
+                decided_by='expected completion'
+                if choice or waits
+                else 'load',
+                waits=waits,
+                fields=choice.list_fields() if choice else {},
+                candidates=_describe(candidates, learned, target, now),
+            )
+        )
+    return questions.PreviewAnswer(route.name, '', choices)
+
+
+def _place_item(question, route, service, candidates, learned, now):
+    """Place an item that does not exist.
+
+    :returns: ``(state, choice, waits)``
+    """
+    run = itemruns.ItemRun(
+        submissions.Item(
+            '', question.path, (), b'', 0, '',
+            question.length_hint, question.prompt_tokens,
+        ),
+        kind=(route.name, question.model),
+    )  # fmt: skip
+    placer = itemplacement.build_placer(
+        learned,
+        candidates,
+        question.model,
+        question.version_min,
+        now,
+        _UnusedPermits(),
+        run.kind,
+        lambda state: service,
+    )
+    if isinstance(placer, itemplacement.ItemPlacer):
+        choice = placer.choose(run)
+        return choice and choice.state, choice, placer.waits
+    return placer.choose(), None, False
+
+
+def _describe(candidates, learned, target, now):
+    view = learned.find_view(target.service, now)
+    described = []
+    for state in candidates:
+        described.append(
+            questions.PreviewCandidate(
+                endpoint=state.id,
+                load=round(state.estimate_load(now), 2),
+                items=len(state.item_runs),
+                slots=state.record.slots,
+                slowness=state.slowness,
+                speed=round(view.get_speed(state), 2) if view else 1.0,
+                in_backoff=now < state.backoff_until,
+                limited=state.limit is not None,
+            )
+        )
+    return described
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -508,7 +508,7 @@
                 self._learned,
                 engines,
                 *criteria,
-                submission,
+                (submission.route, submission.model),
                 self._get_service,
             )
 
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -12,6 +12,7 @@
 from clementineline.coordination import ledger
 from clementineline.coordination import members
 from clementineline.coordination import objectwatcher
+from clementineline.coordination import preview
 from clementineline.coordination import ratelimits
 from clementineline.coordination import routetable
 from clementineline.coordination import watchrelay
@@ -262,8 +263,24 @@
             return await self._crash_record.answer(question)
         if isinstance(question, questions.WatchKind):
             return await self._answer_watch(question)
+        if isinstance(question, questions.PreviewRequest):
+            return preview.preview_request(
+                question,
+                self._routes.table,
+                self._learned,
+                self._list_candidates,
+                self._settings.zone,
+                asyncio.get_running_loop().time(),
+            )
         return await self._answer(question)
 
+    def _list_candidates(self, service, model):
+        """Return the endpoints that may get a request.
+
+        :param model: model of an item, empty for a call
+        """
+        return self._directory.list_usable(service)
+
     async def _answer_about_limits(self, question):
         return await self._limits.answer(question)
 
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -278,6 +278,12 @@
             return None
         return self._version_updater.list_assigned(service, model)
 
+    def _list_candidates(self, service, model):
+        assigned = self._list_assigned(service, model) if model else None
+        if assigned is not None:
+            return assigned
+        return super()._list_candidates(service, model)
+
     def _count_run(self, end, took_s):
         self.metrics.count('item_runs_total', end=end)
         self.metrics.observe('item_run_seconds', took_s)
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -23,6 +23,10 @@
     'NotWatching',
     'PageAnswer',
     'PermitAnswer',
+    'PreviewAnswer',
+    'PreviewCandidate',
+    'PreviewChoice',
+    'PreviewRequest',
     'Question',
     'ReadBody',
     'ReadCrashes',
@@ -309,6 +313,71 @@
     age_s: float
 
 
+class PreviewRequest(msgspec.Struct, frozen=True, tag='preview'):
+    """Asks where a request would go now, without sending it.
+
+    :param model: model of an item, empty for a call
+    :param version_min: oldest version that may run the item
+    :param length_hint: output tokens that the trainer expects of the item
+    """
+
+    host: str
+    path: str
+    model: str = ''
+    version_min: int = 0
+    length_hint: float = 0.0
+    prompt_tokens: int = 0
+
+
+class PreviewCandidate(msgspec.Struct, frozen=True):
+    """What a decision knows of an endpoint.
+
+    :param load: requests as a share of its slots
+    :param items: items that the process runs there
+    :param slowness: momentary slowness as last reported
+    :param speed: lasting speed; 1 for the median, or if it does not count
+    """
+
+    endpoint: str
+    load: float
+    items: int
+    slots: int
+    slowness: float
+    speed: float
+    in_backoff: bool
+    limited: bool
+
+
+class PreviewChoice(msgspec.Struct, frozen=True):
+    """The endpoint of a service that a request would go to.
+
+    :param weight: share of the route's requests that the service gets
+    :param endpoint: id of the endpoint, empty for none
+    :param decided_by: ``load`` or ``expected completion``
+    :param waits: whether an item would wait for a faster engine
+    :param fields: fields of the decision's log line
+    """
+
+    service: str
+    weight: float
+    endpoint: str
+    decided_by: str
+    waits: bool
+    fields: dict[str, float]
+    candidates: list[PreviewCandidate]
+
+
+class PreviewAnswer(msgspec.Struct, frozen=True, tag='preview_answer'):
+    """Where a request would go now.
+
+    :param reason: why there is no choice, empty if there are choices
+    """
+
+    route: str
+    reason: str
+    choices: list[PreviewChoice]
+
+
 Question = (
     ReadResults
     | ReadBody
@@ -322,6 +391,7 @@
     | TellCrashes
     | ReadCrashes
     | WatchKind
+    | PreviewRequest
 )
 Answer = (
     NotLeading
@@ -337,4 +407,5 @@
     | CrashesAnswer
     | WatchedChanges
     | NotWatching
+    | PreviewAnswer
 )
