Compare calls with placement by load, also with wrong costs

Cause: no test showed that learned speeds help calls, or that costs from another workload do no harm; views were not bounded by services. Change: three comparisons at half load; at most 64 services are kept.

--- a/src/clementineline/coordination/completion.py
+++ b/src/clementineline/coordination/completion.py
@@ -43,6 +43,8 @@
 # percentile, if it can be told in advance.
 SPREAD_MIN = 2.0
 VIEW_INTERVAL_S = 1.0
+# More are only known after many manifests; all are computed anew then.
+SERVICES_MAX = 64
 # An older report says little about a disturbance of 600 ms.
 SLOWNESS_TTL_S = 0.3
 # Part of a noisy neighbour's 600 ms that is left on average.
@@ -186,6 +188,8 @@
             spreads.append(self.costs.find_predictable_spread(kind))
         worthwhile = is_worthwhile(list(rated.values()), spreads)
         view = ServiceView(rated, worthwhile, now)
+        if len(self._views) >= SERVICES_MAX:
+            self._views.clear()
         self._views[service] = view
         if worthwhile != before:
             self._log.info(
@@ -256,7 +260,6 @@
             if median is not None and took_s > CANCELLED_FACTOR * median:
                 state.speed.add(math.log(took_s / median), now)
             return
-        self._kinds[state.record.service].add(kind)
         self._observe(state, kind, took_s, now)
 
     def _observe(self, state, kind, took_s, now):
@@ -301,6 +304,8 @@
         :param hint: the number of tokens that the trainer expected
         """
         kind = (route, model)
+        if len(self._kinds) > SERVICES_MAX:
+            self._kinds.clear()
         known = self._kinds[service]
         if len(known) > costs.KINDS_MAX:
             known.clear()
--- a/src/clementineline/coordination/tests/test_completion.py
+++ b/src/clementineline/coordination/tests/test_completion.py
@@ -3,6 +3,7 @@
 import pytest
 
 from clementineline.coordination import completion
+from clementineline.coordination import costs
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemplacement
 from clementineline.coordination import placement
@@ -188,3 +189,28 @@
             state.in_flight = 3
             state.open_calls = dict.fromkeys(range(3), started)
         assert {choose(model, states).state.id for _ in range(9)} == {'b'}
+
+
+class TestAgainstLeastLoaded:
+    def measure(self, policy, wrong_s=None):
+        """Return the mean latency of calls at half load, in seconds.
+
+        :param wrong_s: costs learned before the first call, in seconds
+        """
+        load = placementload.CallLoad(policy, 3, 0.5)
+        for _, model in load.gateways:
+            for _ in range(costs.SAMPLES_MAX if wrong_s else 0):
+                model.costs.learn(('call', 'r'), 0, wrong_s)
+        taken = load.run(40)
+        return sum(taken) / len(taken)
+
+    def test_calls_take_less_time_on_uneven_endpoints(self):
+        """Guards against learned speeds that no choice gains from."""
+        expected = self.measure('expected completion')
+        assert expected < 0.97 * self.measure('least loaded')
+
+    @pytest.mark.parametrize('wrong_s', [0.001, 1.0])
+    def test_wrong_costs_are_no_worse(self, wrong_s):
+        """Guards against costs from another workload that mislead calls."""
+        expected = self.measure('expected completion', wrong_s)
+        assert expected < 1.03 * self.measure('least loaded')
