--- a/src/clementineline/coordination/completion.py
+++ b/src/clementineline/coordination/completion.py
@@ -56,7 +56,7 @@
 # Width of the transition from no wait to a wait for a slot, in requests. The
 # number of requests that others have at an endpoint is not known exactly.
 OWN_SPREAD = 1.0
-OTHERS_SPREAD = 0.5
+OTHERS_SPREAD = 1.0
 # A run's pace is measured over this time, so that learning costs little.
 PACE_SPAN_S = 0.5
 # Time for an event until it was measured, in seconds.
--- a/src/clementineline/coordination/tests/placementload.py
+++ b/src/clementineline/coordination/tests/placementload.py
@@ -403,11 +403,8 @@
                 model.observe_call(state, 'r', took_s, now)
 
 
-def main():
-    """Print the durations of steps and the latencies of calls."""
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-    )
+def print_items():
+    """Print the durations of steps."""
     for engines, groups in ((22, 20), (11, 20), (11, 50)):
         for trouble in ('', 'wrong hints', 'changed speeds'):
             for policy in POLICIES:
@@ -423,11 +420,15 @@
                     f'p90 {sorted(taken)[int(0.9 * len(taken))]:.2f}',
                     flush=True,
                 )
+
+
+def print_calls():
+    """Print the latencies of calls."""
     for utilisation in (0.3, 0.5, 0.7):
         for trouble in ('', 'changed speeds'):
             for policy in POLICIES:
                 taken = []
-                for seed in range(3):
+                for seed in range(4):
                     load = CallLoad(policy, seed, utilisation, trouble)
                     taken += load.run(80)
                 taken.sort()
@@ -442,4 +443,8 @@
 
 
 if __name__ == '__main__':
-    main()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    print_items()
+    print_calls()
