--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -4,6 +4,7 @@
 import dataclasses
 import uuid
 
+from clementineline.coordination import completion
 from clementineline.coordination import ratelimits
 from clementineline import errors
 from clementineline.state import submissions
@@ -49,6 +50,13 @@
     """An unfinished item of an open submission, and its runs so far.
 
     :param item: the :class:`~submissions.Item`
+    :param kind: kind of its cost in the :class:`~costs.CostModel`
+    :param waits_since: loop time since which it waits for a faster engine
+        than one that is free, in seconds, or None
+    :param first_event_s: time from its request to its first event, in
+        seconds; None if it was resumed, or has no event
+    :param placed_by: the :class:`~completion.Choice` of its engine; None if it
+        was placed by load
     :param carried: whether its group was started in an earlier submission
     :param run_id: id of the last run; cached events are only joined if they
         come from the same run
@@ -98,6 +106,10 @@
     task: asyncio.Task | None = None
     scoring_task: asyncio.Task | None = None
     organisation: str | None = None
+    kind: tuple = ()
+    waits_since: float | None = None
+    first_event_s: float | None = None
+    placed_by: object = None
 
     def forget_text(self):
         """Drop the events; the next run starts from the beginning."""
@@ -131,7 +143,15 @@
         )
 
 
-async def run_item(submission, run, state, pool, dialect, organisation=None):
+async def run_item(
+    submission,
+    run,
+    state,
+    pool,
+    dialect,
+    organisation=None,
+    learned=None,
+):
     """Run an item on an engine, resuming after the events received so far.
 
     :param submission: the item's :class:`~submissions.Submission`
@@ -141,12 +161,20 @@
     :param dialect: the platform's dialect
     :param organisation: name of the organisation that the item runs for, ''
         for none; None if organisations are not in force
+    :param learned: the :class:`~completion.CompletionModel`, or None
     :returns: ``(end, reason)`` with the end one of :class:`RunEnd`
     """
     fresh = False
     while True:
         outcome = await _run_on_connection(
-            submission, run, state, pool, dialect, organisation, fresh
+            submission,
+            run,
+            state,
+            pool,
+            dialect,
+            organisation,
+            learned,
+            fresh,
         )
         if outcome is not None:
             return outcome
@@ -154,7 +182,7 @@
 
 
 async def _run_on_connection(
-    submission, run, state, pool, dialect, organisation, fresh
+    submission, run, state, pool, dialect, organisation, learned, fresh
 ):
     """Run an item; the parameters are those of :func:`run_item`.
 
@@ -172,6 +200,7 @@
         return RunEnd.UNREACHED, str(error)
     reusable = False
     run.last_event_at = None
+    run.first_event_s = None
     run.run_id = uuid.uuid4().hex
     try:
         head = dialect.build_item_call(
@@ -182,6 +211,7 @@
             organisation,
         )
         client.send_request(head, run.item.body)
+        sent_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(RESPONSE_HEAD_TIMEOUT_S):
             reply = await client.receive_head()
         headers = tuple(reply.headers.raw_items())
@@ -195,8 +225,18 @@
             return _classify_error_response(run, reply.status_code, facts)
         if facts.request_id != run.item.id:
             return RunEnd.BROKEN, f'response to {facts.request_id!r}'
+        pace = completion.PaceObserver(
+            learned, state, submission.route, submission.model
+        )
         end = await _read_stream(
-            submission, run, state, client, facts.version, dialect
+            submission,
+            run,
+            state,
+            client,
+            facts.version,
+            dialect,
+            pace,
+            sent_at,
         )
         reusable = end[0] is RunEnd.COMPLETED
         return end
@@ -225,16 +265,21 @@
     return RunEnd.BROKEN, f'status {status}'
 
 
-async def _read_stream(submission, run, state, client, version, dialect):
+async def _read_stream(
+    submission, run, state, client, version, dialect, pace, sent_at
+):
     """Append the events of a response to the run's text.
 
     :param client: the connection, after the head of the response
     :param version: weights version that the head names, or None
+    :param pace: the :class:`~completion.PaceObserver`
+    :param sent_at: loop time of the request, in seconds
     :returns: ``(end, reason)``
     """
     loop = asyncio.get_running_loop()
     reader = events.EventReader()
     previous_at = None
+    resumed = bool(run.texts)
     if version is not None and submission.model:
         state.versions[submission.model] = version
         if version < submission.version_min:
@@ -269,7 +314,10 @@
             now = loop.time()
             if previous_at is not None:
                 state.update_pace((now - previous_at) / len(found), now)
+            elif not resumed:
+                run.first_event_s = now - sent_at
             previous_at = now
+            pace.add(len(found), now)
             deadline = now + DATA_TIMEOUT_S
             run.last_event_at = now
     if reader.has_partial:
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 
+from clementineline.coordination import completion
 from clementineline.coordination import draining
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
@@ -37,6 +38,8 @@
     :param organisation: name of the organisation that the stream runs for, ''
         for none; None if organisations are not in force
     :ivar head_sent: whether the head of the response was sent to the caller
+    :ivar placed_by: the :class:`~completion.Choice` of the last endpoint;
+        None if it was chosen by load
     :ivar tried: ids of the endpoints that the request was sent to
     :ivar refused: ids of the endpoints that it was not sent to, because of
         their limits
@@ -48,6 +51,7 @@
         'head_sent',
         'last_event',
         'organisation',
+        'placed_by',
         'refused',
         'tried',
         'waited_for_caller',
@@ -57,6 +61,7 @@
         self.head_sent = False
         self.last_event = last_event
         self.organisation = organisation
+        self.placed_by = None
         self.tried = []
         self.refused = []
         self.waited_for_caller = False
@@ -95,6 +100,8 @@
     :param zone: availability zone of this process
     :param crash_record: the :class:`~crashes.CrashRecord`
     :param log: logger
+    :param learned: the :class:`~completion.CompletionModel`; None to choose
+        endpoints by load
     :ivar drains: the :class:`~draining.DrainEstimator` of the services
     :ivar on_attempt_began: called once for each attempt that an endpoint
         began, with the stream's organisation and the Unix time of the first
@@ -105,6 +112,7 @@
         '_crash_record',
         '_dialect',
         '_directory',
+        '_learned',
         '_log',
         '_pool',
         '_zone',
@@ -112,7 +120,17 @@
         'on_attempt_began',
     )
 
-    def __init__(self, directory, pool, dialect, zone, crash_record, log):
+    def __init__(
+        self,
+        directory,
+        pool,
+        dialect,
+        zone,
+        crash_record,
+        log,
+        learned=None,
+    ):
+        self._learned = learned
         self._crash_record = crash_record
         self._dialect = dialect
         self._directory = directory
@@ -148,7 +166,10 @@
                 )
                 break
             refusals = len(stream.refused)
-            state = forwarding.choose_endpoint(
+            state, stream.placed_by = forwarding.place_call(
+                self._learned,
+                service,
+                route.name,
                 self._directory.list_usable(service),
                 [*stream.tried, *stream.refused],
                 self._zone,
@@ -190,8 +211,11 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         first = stream.last_event
+        placed_by = stream.placed_by
         state.in_flight += 1
         stream.waited_for_caller = False
+        call = object()
+        state.open_calls[call] = started
         verdict = None
         sent = True
         notice = usage.BeginningNotice(
@@ -212,6 +236,7 @@
         finally:
             state.in_flight -= 1
             notice.end(verdict)
+            del state.open_calls[call]
             self._log.info(
                 'stream attempt',
                 request=incoming.request_id,
@@ -225,8 +250,17 @@
                 if verdict
                 else 'cancelled',
                 reason=getattr(verdict, 'reason', None),
+                **(placed_by.list_fields() if placed_by else {}),
             )
         if isinstance(verdict, verdicts.Answered):
+            if (
+                self._learned is not None
+                and verdict.status < 300
+                and not first
+            ):
+                self._learned.learn_stream(
+                    state, route.name, loop.time() - started
+                )
             state.record_success()
             self._crash_record.clear(
                 incoming.head, incoming.body, incoming.request_id
@@ -292,6 +326,9 @@
                     gap_s,
                     route.resumable,
                     notice,
+                    completion.PaceObserver(
+                        self._learned, state, route.name, ''
+                    ),
                 )
             finally:
                 hold.release()
@@ -332,7 +369,7 @@
         return verdicts.Answered(status, headers, body)
 
     async def _relay(
-        self, stream, incoming, client, gap_s, consecutive, notice
+        self, stream, incoming, client, gap_s, consecutive, notice, pace
     ):
         """Relay complete events; hold back an event until it is complete.
 
@@ -345,6 +382,7 @@
         :param consecutive: whether each event has the number after that of
             the event before it
         :param notice: the :class:`~usage.BeginningNotice` of the attempt
+        :param pace: the :class:`~completion.PaceObserver`
         :returns: a verdict
         """
         relayed = 0
@@ -357,6 +395,7 @@
                 data = await client.receive_data()
             if data is None:
                 break
+            events_before = relayed
             for number, raw in splitter.feed(data):
                 if not raw.strip():
                     continue
@@ -370,6 +409,7 @@
                     stream.last_event = number
                     event_at = loop.time()
                 incoming.send(raw)
+            pace.add(relayed - events_before, loop.time())
             waited_from = loop.time()
             await stream.drain(incoming)
             event_at += loop.time() - waited_from
--- a/src/clementineline/coordination/tests/test_submissionowner.py
+++ b/src/clementineline/coordination/tests/test_submissionowner.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from clementineline.coordination import completion
 from clementineline.coordination import itemruns
 from clementineline.coordination import submissionowner
 from clementineline.coordination.tests import test_fairorder
@@ -45,6 +46,9 @@
             None,
             None,
             limits,
+            completion.CompletionModel(
+                directory.list_usable, 'a', test_fairorder.NullLog()
+            ),
             lambda service, model: None,
         )
         owner.open_submissions = play.entries
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -6,12 +6,14 @@
 import os
 
 from clementineline import clocks
+from clementineline.coordination import completion
 from clementineline.coordination import connections
 from clementineline.coordination import crashes
 from clementineline.coordination import directory
 from clementineline.coordination import ledger
 from clementineline.coordination import members
 from clementineline.coordination import objectwatcher
+from clementineline.coordination import preview
 from clementineline.coordination import ratelimits
 from clementineline.coordination import routetable
 from clementineline.coordination import watchrelay
@@ -110,6 +112,12 @@
             log,
         )
         self._crash_record.on_ended = self._handle_ended_instances
+        self._learned = completion.CompletionModel(
+            self._directory.list_usable,
+            settings.zone,
+            log,
+            settings.placement == completion.AUTO,
+        )
         self._pool.on_leaving = self._directory.mark_leaving
         self._pool.announced = settings.keep_alive == 'announced'
         self._pool.may_keep = self._may_keep_idle
@@ -185,6 +193,7 @@
         effect at the next start.
         """
         self._settings = settings
+        self._learned.enabled = settings.placement == completion.AUTO
         self._log.info('settings reloaded')
 
     def _collect_metrics(self, process_metrics):
@@ -204,6 +213,21 @@
         )
         limited = self._limits.list_limited()
         process_metrics.set('endpoints_limited', len(limited))
+        process_metrics.set('cost_kinds', len(self._learned.costs))
+        process_metrics.set('items_held', self._learned.held)
+        for service, view in self._learned.list_views():
+            known = view.speeds.values()
+            process_metrics.set(
+                'placed_by_completion',
+                int(view.in_effect and self._learned.enabled),
+                service=service,
+            )
+            process_metrics.set(
+                'endpoint_speed_min', min(known, default=1.0), service=service
+            )
+            process_metrics.set(
+                'endpoint_speed_max', max(known, default=1.0), service=service
+            )
 
     def _handle_ended_instances(self, instances):
         """Let endpoints that others found to have ended get requests last."""
@@ -279,8 +303,24 @@
             return await self._crash_record.answer(question)
         if isinstance(question, questions.WatchKind):
             return await self._answer_watch(question)
+        if isinstance(question, questions.PreviewRequest):
+            return preview.preview_request(
+                question,
+                self._routes.table,
+                self._learned,
+                self._list_candidates,
+                self._settings.zone,
+                asyncio.get_running_loop().time(),
+            )
         return await self._answer(question)
 
+    def _list_candidates(self, service, model):
+        """Return the endpoints that may get a request.
+
+        :param model: model of an item, empty for a call
+        """
+        return self._directory.list_usable(service)
+
     async def _answer_about_limits(self, question):
         return await self._limits.answer(question)
 
--- a/src/clementineline/daemons/gateway.py
+++ b/src/clementineline/daemons/gateway.py
@@ -78,6 +78,7 @@
             settings.zone,
             self._crash_record,
             log,
+            self._learned,
         )
         self._stream_forwarder = streaming.StreamForwarder(
             self._directory,
@@ -86,6 +87,7 @@
             settings.zone,
             self._crash_record,
             log,
+            self._learned,
         )
         self._stream_forwarder.drains = self._call_forwarder.drains
         self._organisation_labels = metrics_module.LabelLimiter()
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -73,6 +73,11 @@
     'holds_ended': 'Requests, responses and frames ended to free memory.',
     'descriptors': 'Open descriptors, files included.',
     'client_refusals_total': 'Clients refused or cut off, by reason.',
+    'cost_kinds': 'Kinds of requests whose costs are learned.',
+    'items_held': 'Items that waited for a faster engine than a free one.',
+    'placed_by_completion': 'Whether expected completion decides placement.',
+    'endpoint_speed_min': 'Lowest learned lasting speed, 1 for the median.',
+    'endpoint_speed_max': 'Highest learned lasting speed, 1 for the median.',
     'log_lines_dropped': 'Log lines left out since their reader was slow.',
 }
 
--- a/src/clementineline/platform/settings.py
+++ b/src/clementineline/platform/settings.py
@@ -117,6 +117,7 @@
     cloud: _CloudSettings | None = None
     # Parts of the platform's rules that are in force.
     contracts: list[str] = []
+    placement: settings.Placement = 'auto'
 
 
 def _load(path):
@@ -214,6 +215,7 @@
             fail_closed=boot.bounds.fail_closed,
             revoke_s=boot.bounds.revoke_ms / 1000,
         ),
+        placement=boot.placement,
     )
 
 
@@ -244,4 +246,5 @@
         bounds=_derive_bounds(boot, KEEPER_PEERS_SHARE),
         duties=_build_duty_settings(boot),
         keep_alive=_choose_keep_alive(boot),
+        placement=boot.placement,
     )
--- a/src/clementineline/state/settings.py
+++ b/src/clementineline/state/settings.py
@@ -19,6 +19,7 @@
     'GatewaySettings',
     'KeeperSettings',
     'LeaseSettings',
+    'Placement',
     'PolicySettings',
     'SidecarSettings',
     'load_settings',
@@ -33,6 +34,7 @@
 # Largest value that the object APIs of the supported platforms accept.
 VALUE_MAX_BYTES = 1024 * 1024
 NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+Placement = typing.Literal['auto', 'least_loaded']
 Name = typing.Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
 ]
@@ -307,6 +309,8 @@
         as endpoints announce, ``fixed`` for a time that suits all
     :param access: what it does while it cannot confirm its route table
     :param bounds: the :class:`ProcessBounds`
+    :param placement: ``auto`` to place requests by expected completion where
+        that is worthwhile, ``least_loaded`` to place them by load always
     """
 
     name: Name
@@ -323,6 +327,7 @@
     keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
     access: AccessSettings = AccessSettings()
     bounds: ProcessBounds = ProcessBounds()
+    placement: Placement = 'auto'
 
 
 class KeeperSettings(_Settings):
@@ -343,6 +348,8 @@
     :param bounds: the :class:`ProcessBounds`
     :param keep_alive: ``announced`` if idle connections are kept for as long
         as endpoints announce, ``fixed`` for a time that suits all
+    :param placement: ``auto`` to place requests by expected completion where
+        that is worthwhile, ``least_loaded`` to place them by load always
     """
 
     name: Name
@@ -358,6 +365,7 @@
     duties: DutySettings | None = None
     bounds: ProcessBounds = ProcessBounds()
     keep_alive: typing.Literal['fixed', 'announced'] = 'fixed'
+    placement: Placement = 'auto'
 
 
 def _check_addresses(value, where):
