Test that the contract of pressure asks for announced idle timeouts

Cause: the test set a key of the settings file that the merge replaced by the contract that the platform sends. Change: the contract, for gateways and keepers.

--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -269,9 +269,16 @@
         assert loaded.listen == '10.0.0.1:7720'
         assert loaded.lease.quiet_s == 2.5
 
-    @pytest.mark.parametrize('given', [{}, {'keep_alive': 'announced'}])
+    @pytest.mark.parametrize(
+        ('given', 'expected'),
+        [
+            ({}, 'fixed'),
+            ({'contracts': ['base', 'engine']}, 'fixed'),
+            ({'contracts': ['base', 'pressure']}, 'announced'),
+        ],
+    )
     def test_announced_idle_timeouts_are_used_only_if_asked_for(
-        self, tmp_path, given
+        self, tmp_path, given, expected
     ):
         # Guards against longer idle connections that nobody asked for.
         path = tmp_path / 'node.json'
@@ -283,9 +290,10 @@
             'platform': {'address': '10.9.9.9:80'},
         }
         path.write_text(json.dumps({**boot, **given}))
-        expected = given.get('keep_alive', 'fixed')
         loaded = settings.load_gateway_settings(str(path))
         assert loaded.keep_alive == expected
+        loaded = settings.load_keeper_settings(str(path))
+        assert loaded.keep_alive == expected
 
     def test_error_of_malformed_settings_names_the_file(self, tmp_path):
         path = tmp_path / 'node.json'
