Move the serving of submissions out of the gateway's module

Callers see no difference.

Change: SubmissionService in daemons/submissionservice.py records submissions and serves the calls on them; the Retry-After times that both modules use are in daemons/retryafter.py. The bodies of the moved methods are unchanged apart from the names of what they are given. test_path reads the recorded page through the new class.

--- a/src/clementineline/platform/tests/test_path.py
+++ b/src/clementineline/platform/tests/test_path.py
@@ -416,7 +416,7 @@
             await wait_until(
                 lambda: leader._owner.open_submissions['s1'].ended
             )
-        recorded = await gateway._read_recorded(
+        recorded = await gateway._submissions._read_recorded(
             dialects.BatchCall(dialects.BatchVerb.READ_RESULTS, 's1')
         )
         assert recorded.results
