Keep a call without an answer in mind when another one is answered

Cause: reports of usage and orders of capacity are sent by two tasks. The answer to one cleared the time of the other, which was still without an answer. When the lease lapsed then and was acquired again, a call with the higher token was sent at once, and the earlier one could arrive after it.

Change: open calls are counted, and a call that ends without an answer keeps its time. A higher token waits for both.

Measured: test_duties.py::TestDutySender:: test_higher_token_waits_although_another_call_was_answered fails before and passes now, with the other three tests of the file.

--- a/src/clementineline/coordination/duties.py
+++ b/src/clementineline/coordination/duties.py
@@ -72,6 +72,7 @@
         '_holder',
         '_last_fence',
         '_log',
+        '_open_calls',
         '_quiet_until',
         '_spacer',
         '_term',
@@ -86,6 +87,8 @@
         self._holder = holder
         self._last_fence = 0
         self._log = log
+        # Reports and orders are sent by different tasks, so calls overlap.
+        self._open_calls = 0
         # A call of the process that ran here before may still arrive, and its
         # token is lower.
         self._quiet_until = asyncio.get_running_loop().time() + max(
@@ -93,6 +96,7 @@
         )
         self._spacer = spacer
         self._term = term
+        # Loop time of the last call that ended without an answer.
         self._unanswered_at = -math.inf
         self.last_call_at = None
         self.on_outcome = lambda duty, outcome: None
@@ -113,6 +117,8 @@
             return False
         if self._term.fence == self._last_fence:
             return True
+        if self._open_calls:
+            return False
         return now >= self._unanswered_at + UNANSWERED_CALL_S
 
     async def call(self, duty, build, *arguments):
@@ -134,14 +140,9 @@
             head, body = build(token, *arguments)
             host = (b'Host', str(self._address).encode())
             head = http.Head(head.method, head.target, (host, *head.headers))
-            started = self._unanswered_at = self.last_call_at = loop.time()
+            started = self.last_call_at = loop.time()
             self._last_fence = token.fence
-            client.send_request(head, body)
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                reply = await client.receive_head()
-                await client.receive_body(RESPONSE_MAX_BYTES)
-            status = reply.status_code
-            self._unanswered_at = -math.inf
+            status = await self._exchange(client, head, body)
             outcome = self._dialect.read_duty_status(status)
         except (errors.ProtocolError, TimeoutError) as error:
             reason = repr(error)
@@ -162,6 +163,23 @@
         )
         return outcome
 
+    async def _exchange(self, client, head, body):
+        """Make a call on an open connection and return the HTTP status."""
+        sent_at = asyncio.get_running_loop().time()
+        answered = False
+        self._open_calls += 1
+        try:
+            client.send_request(head, body)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                reply = await client.receive_head()
+                await client.receive_body(RESPONSE_MAX_BYTES)
+            answered = True
+            return reply.status_code
+        finally:
+            self._open_calls -= 1
+            if not answered:
+                self._unanswered_at = max(self._unanswered_at, sent_at)
+
     async def _connect_when_allowed(self):
         """Return a connection on which a call may be made at once."""
         loop = asyncio.get_running_loop()
--- a/src/clementineline/coordination/tests/test_duties.py
+++ b/src/clementineline/coordination/tests/test_duties.py
@@ -6,7 +6,10 @@
 import pytest
 
 from clementineline.coordination import duties
+from clementineline.state import dialect
 from clementineline.state import settings
+from clementineline.transport import frames
+from clementineline.transport import http
 
 
 class Term:
@@ -61,6 +64,35 @@
         await asyncio.sleep(0.11)
         assert sender.may_call()
 
+    async def test_higher_token_waits_although_another_call_was_answered(
+        self, sender, term
+    ):
+        # The answer to an order hid that a report was still without one, so
+        # the report could arrive after a call with a higher token.
+        async def serve(reader, writer):
+            head = await reader.readuntil(b'\r\n\r\n')
+            if head.startswith(b'POST /scale'):
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+            await reader.read()
+            writer.close()
+
+        def build(token, target):
+            return http.Head(b'POST', target, ()), b'{}'
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        sender._address = frames.Address('127.0.0.1', port)
+        sender._dialect.read_duty_status = lambda status: accepted
+        accepted = dialect.DutyOutcome.ACCEPTED
+        async with server:
+            outcomes = await asyncio.gather(
+                sender.call('usage', build, b'/usage'),
+                sender.call('scale', build, b'/scale'),
+            )
+        assert outcomes == [dialect.DutyOutcome.UNANSWERED, accepted]
+        term.fence += 1
+        assert not sender.may_call()
+
 
 class TestCallSpacer:
     def test_calls_stay_below_the_rate(self):
