Keep the connection of a caller that pauses in a long response

Cause: the kernel drops a connection 2.5 s after the peer last took bytes, so that a lost path is noticed soon. A caller without room for more bytes looks the same, so one that stopped reading a response for longer than that was reset, although the limit for responses without progress is 15 s.

The next request on the connection sets 2.5 s again, so that a caller that is lost while its request runs is still noticed then.

Measured: test_http.py::TestUntrustedClients:: test_caller_may_pause_while_it_reads fails before with a reset after a pause of 5 s, with a length and in chunks, and passes now; 39 tests of transport pass. It also makes a lost caller of a stream be noticed after 15 s.

--- a/src/clementineline/transport/channels.py
+++ b/src/clementineline/transport/channels.py
@@ -26,6 +26,9 @@
 # Time in which a closed connection must have sent its last bytes. A peer that
 # does not read would keep its descriptor open for good.
 LINGER_S = 15.0
+# Time without progress in which the system keeps the connection of a peer
+# that reads a long response. A reader that pauses looks like a lost path.
+PAUSE_S = 15.0
 # Connections that wait to be accepted.
 BACKLOG = 1024
 # Connections accepted in one iteration of the event loop. They are counted
@@ -48,6 +51,7 @@
     """
 
     __slots__ = (
+        '_allows_pauses',
         '_buffer',
         '_closing',
         '_drained',
@@ -69,6 +73,7 @@
     def __init__(
         self, on_connect=None, read_ahead_bytes=READ_HIGH_WATER_BYTES
     ):
+        self._allows_pauses = False
         self._on_connect = on_connect
         self._buffer = bytearray()
         self._wakeup = asyncio.Event()
@@ -219,6 +224,19 @@
         self._queue.clear()
         self._queued_bytes = 0
 
+    def allow_pauses(self, allowed):
+        """Set whether the peer may read nothing for some time.
+
+        Otherwise a lost path is noticed soon.
+        """
+        if allowed is self._allows_pauses or self.transport.is_closing():
+            return
+        self._allows_pauses = allowed
+        timeout_ms = sockets.UNACKNOWLEDGED_TIMEOUT_MS
+        if allowed:
+            timeout_ms = round(PAUSE_S * 1000)
+        sockets.set_unacknowledged_timeout(self.transport, timeout_ms)
+
     async def drain(self):
         """Wait while too many queued bytes are unsent."""
         await self._drained.wait()
--- a/src/clementineline/transport/http.py
+++ b/src/clementineline/transport/http.py
@@ -149,6 +149,8 @@
 
     def build_request(self, head, body):
         """Return the :class:`IncomingRequest` of a head and a body."""
+        # The caller has taken the response before, or most of it.
+        self.channel.allow_pauses(False)
         return IncomingRequest(
             head,
             body,
--- a/src/clementineline/transport/incoming.py
+++ b/src/clementineline/transport/incoming.py
@@ -103,6 +103,7 @@
             self._channel.close()
             return
         if len(body) > channels.SEND_PIECE_BYTES:
+            self._channel.allow_pauses(True)
             self._send(data)
             data = b''
             for piece in protocol.send_with_data_passthrough(
@@ -129,6 +130,7 @@
         if self.response_started or self._channel.lost:
             return
         self.response_started = True
+        self._channel.allow_pauses(True)
         self._send(self._build_head(status, headers))
 
     def _build_head(self, status, headers, framing=()):
--- a/src/clementineline/transport/tests/test_http.py
+++ b/src/clementineline/transport/tests/test_http.py
@@ -323,6 +323,31 @@
             while server.budget.used_bytes:
                 await asyncio.sleep(0.01)
 
+    @pytest.mark.parametrize('streams', [False, True])
+    async def test_caller_may_pause_while_it_reads(self, log, streams):
+        """The system dropped the connection 2.5 s after the last read."""
+        body = bytes(8_000_000)
+
+        async def handle(incoming):
+            if not streams:
+                incoming.respond(200, (), body)
+                return
+            incoming.start_response(200, ())
+            incoming.send(body)
+            incoming.finish()
+
+        _, address = await serve_requests(handle, log)
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(
+            b'GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        await asyncio.sleep(5.0)
+        async with asyncio.timeout(5):
+            assert len(await reader.read(-1)) > len(body)
+        writer.close()
+
 
 class TestConnectionHeaders:
     def test_headers_named_by_connection_are_removed(self):
