Ask all gateways before windows of an earlier process are fixed

Cause: a gateway states only changes to the keeper that was told the rest. A keeper that was restarted and acquired its own lease again is the same to it. Its question for all counts was asked once, also before the members were listed, and not repeated to a gateway that did not answer. A later statement without changes completed the window, which was then fixed without the requests that only the earlier process had been told of.

The first question waits for the list of members.

--- a/src/clementineline/coordination/tests/test_usage.py
+++ b/src/clementineline/coordination/tests/test_usage.py
@@ -1,12 +1,16 @@
 """Counting and adding up requests, without a network."""
 
 import asyncio
+import types
 
 import pytest
 
 from clementineline.coordination import usage
+from clementineline.coordination import usagereports
+from clementineline import errors
 from clementineline.protocol import verdicts
 from clementineline.state import questions
+from clementineline.state import settings
 
 WINDOW_S = 5.0
 
@@ -133,3 +137,69 @@
         collector.add(state_usage('g1', {}, 7, final=True))
         collector.add(state_usage('g1', {}, 6, incarnation=2))
         assert collector.list_missing(7, {'g1'}) == ['g1']
+
+
+class Members:
+    """Answers to ReadUsage, by name of the gateway; None for no answer."""
+
+    def __init__(self, answers):
+        self.addresses = dict.fromkeys(answers, '127.0.0.1:1')
+        self.answers = answers
+        self.keepers = set()
+        self.listed = asyncio.Event()
+        self.listed.set()
+
+    def may_ask(self, name):
+        return True
+
+    async def ask(self, name, question, timeout_s):
+        if self.answers[name] is None:
+            raise errors.ConnectionLost('no answer')
+        return questions.UsageAnswer([self.answers[name]])
+
+
+class TestUsageReporter:
+    def build_reporter(self, members, collector, clock, log):
+        reporter = usagereports.UsageReporter(
+            None,
+            collector,
+            members,
+            None,
+            None,
+            settings.DutySettings(address='127.0.0.1:1'),
+            types.SimpleNamespace(),
+            log,
+            clock.now,
+        )
+        reporter._peers = members
+        return reporter
+
+    async def test_changes_alone_do_not_complete_a_window(
+        self, collector, clock, log, monkeypatch
+    ):
+        # A keeper that was restarted got only changes from a gateway that
+        # took it for the old process, and fixed windows without the counts
+        # that the old process was told.
+        monkeypatch.setattr(usagereports, 'ASK_INTERVAL_S', 0.0)
+        window = int(clock.now() // WINDOW_S)
+        members = Members({'gateway-1': None})
+        reporter = self.build_reporter(members, collector, clock, log)
+        clock.time_s = (window + 1) * WINDOW_S + 2.0
+        collector.add(state_usage('gateway-1', {}, window))
+        assert not await reporter._is_collected(window)
+        members.answers['gateway-1'] = state_usage(
+            'gateway-1', {window: {'north': 3}}, window
+        )
+        assert await reporter._is_collected(window)
+        assert collector.sum_counts(window) == {'north': 3}
+
+    async def test_stopped_gateway_need_not_answer(
+        self, collector, clock, log
+    ):
+        # It stays registered for a minute, in which each window would wait.
+        window = int(clock.now() // WINDOW_S)
+        members = Members({'gateway-1': None})
+        reporter = self.build_reporter(members, collector, clock, log)
+        clock.time_s = (window + 1) * WINDOW_S + 2.0
+        collector.add(state_usage('gateway-1', {}, window - 1, final=True))
+        assert await reporter._is_collected(window)
--- a/src/clementineline/coordination/usage.py
+++ b/src/clementineline/coordination/usage.py
@@ -257,6 +257,15 @@
                 missing.append(member)
         return missing
 
+    def has_stopped(self, member):
+        """Return whether the last start of a member has stated everything."""
+        starts = [
+            (incarnation, known.final)
+            for (name, incarnation), known in self._statements.items()
+            if name == member
+        ]
+        return max(starts, default=(0, False))[1]
+
     def sum_counts(self, window):
         """Return the counts of a window by organisation."""
         total = {}
--- a/src/clementineline/coordination/usagereports.py
+++ b/src/clementineline/coordination/usagereports.py
@@ -145,7 +145,9 @@
     """
 
     __slots__ = (
+        '_answered',
         '_asked_at',
+        '_began_at',
         '_collector',
         '_dialect',
         '_fixed',
@@ -175,8 +177,11 @@
         log,
         read_time_of_day=time.time,
     ):
+        # Members that have told all their counts in this term.
+        self._answered = set()
         # Loop times of the last questions, by member.
         self._asked_at = {}
+        self._began_at = read_time_of_day()
         self._collector = collector
         self._dialect = dialect
         abandon_s = ABANDON_FACTOR * settings.late_s
@@ -227,7 +232,7 @@
     async def _fix_due_windows(self):
         if not self._gathered:
             await self._ask_members(list(self._members.addresses))
-            self._gathered = True
+            self._gathered = self._members.listed.is_set()
         if not self._fixed.known:
             await self._fixed.read()
             self._plan()
@@ -292,6 +297,7 @@
         late_s = self._settings.late_s
         if not self._members.listed.is_set() and age_s < FIX_SHARE * late_s:
             return False
+        await self._ask_members(self._list_unanswered(window))
         missing = self._list_missing(window)
         if not missing and self._list_gateways():
             return True
@@ -312,7 +318,22 @@
         return set(self._members.addresses) - self._members.keepers
 
     def _list_missing(self, window):
-        return self._collector.list_missing(window, self._list_gateways())
+        missing = self._collector.list_missing(window, self._list_gateways())
+        return sorted({*missing, *self._list_unanswered(window)})
+
+    def _list_unanswered(self, window):
+        """Return the gateways that may have more counts of a window.
+
+        A gateway states only changes to a keeper that was told the rest. After
+        a restart of this process under the same name, it has lost the rest.
+        """
+        if window * self._settings.window_s > self._began_at:
+            return []
+        return [
+            name
+            for name in self._list_gateways() - self._answered
+            if not self._collector.has_stopped(name)
+        ]
 
     async def _ask_members(self, names):
         """Ask members for the counts that they hold."""
@@ -336,6 +357,7 @@
             return
         if not isinstance(answer, questions.UsageAnswer):
             return
+        self._answered.add(name)
         for stated in answer.usage:
             self._collector.add(stated, relayed=stated.member != name)
 
