Do not refuse a call as not run after it was sent once

Cause: a call that can be repeated is sent on a connection that was idle for long, and again on a new one if the first breaks before a response. If the endpoint had ended meanwhile, or did not take the second, the result said that the call had not run. With no other endpoint, the caller got 503 for a call that the endpoint may have begun.

Change: a refusal of the second exchange leaves the outcome open.

Measured: test_forwarding.py::TestAttempts:: test_call_that_was_sent_is_not_refused_as_not_run fails before (NotRun) and passes now; 35 tests of the file pass.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -446,8 +446,15 @@
 
     async def _exchange(self, attempts, state, notice):
         verdict = await self._exchange_once(attempts, state, notice, False)
-        if verdict is None:
+        if verdict is not None:
+            return verdict
+        try:
             verdict = await self._exchange_once(attempts, state, notice, True)
+        except errors.LimitReached as error:
+            verdict = verdicts.NotRun(str(error), error.retry_after_s)
+        if isinstance(verdict, verdicts.NotRun):
+            # The endpoint may have begun the call on the first connection.
+            return verdicts.MayHaveRun(f'connection lost: {verdict.reason}')
         return verdict
 
     async def _exchange_once(self, attempts, state, notice, fresh):
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -173,6 +173,31 @@
         assert forwarding_setup.runs == [0, 6]
         assert len({run[0] for run in second.runs}) == 6
 
+    async def test_call_that_was_sent_is_not_refused_as_not_run(
+        self, forwarding_setup, monkeypatch
+    ):
+        # An endpoint that ended while it ran a call on a connection idle for
+        # long accepted no other one, and the caller got 503.
+        monkeypatch.setattr(connections, 'IDLE_TIMEOUT_S', 0.0)
+        monkeypatch.setattr(
+            connections.ConnectionPool, '_is_fresh', lambda *_: True
+        )
+        received = []
+
+        async def serve(reader, writer):
+            received.append(await reader.readuntil(b'\r\n\r\n'))
+            server.close()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        state = build_state('a', address=f'{host}:{port}')
+        forwarding_setup.endpoint_directory.add(state)
+        assert not await forwarding_setup.pool.has_ended(state)
+        verdict = await forwarding_setup.forward(build_route())
+        assert len(received) == 1
+        assert isinstance(verdict, verdicts.MayHaveRun)
+
     async def test_callers_without_room_return_one_after_the_other(
         self, forwarding_setup
     ):
