Count the age of a request and not that of its connection

Cause: when memory is short, the hold with the largest product of size and age is ended. The hold of a connection never becomes empty, so its age was that of the connection. A request on an old kept connection was cut off while a larger one that had stalled on a new connection was kept.

Change: the age counts from the first bytes of each request.

Measured: test_http.py::TestUntrustedClients:: test_age_of_the_connection_does_not_end_a_request fails before (the new request is closed, the stalled one stays) and passes now, with 10 tests of holds and large bodies.

--- a/src/clementineline/transport/buffers.py
+++ b/src/clementineline/transport/buffers.py
@@ -58,6 +58,10 @@
             return False
         return self._budget.change(self, size)
 
+    def restart_age(self):
+        """Count the age from now, as the bytes are for something new."""
+        self.started_at = time.monotonic()
+
     def release(self):
         """Hold nothing any more."""
         self._budget.change(self, 0)
--- a/src/clementineline/transport/reading.py
+++ b/src/clementineline/transport/reading.py
@@ -126,6 +126,8 @@
         """
         self._reset()
         self.forget()
+        # Otherwise the age of the connection would count for each request.
+        self._hold.restart_age()
         self._hold.end = self._end
         unread = self._protocol.trailing_data[0]
         self.idle = not unread and not self._channel.has_unread
@@ -216,6 +218,8 @@
                 data = await self._channel.receive()
         finally:
             self._timeout = None
+        if self.idle:
+            self._hold.restart_age()
         self.idle = False
         self._received_at = loop.time()
         protocol.receive_data(data)
--- a/src/clementineline/transport/tests/test_http.py
+++ b/src/clementineline/transport/tests/test_http.py
@@ -283,6 +283,32 @@
         for _, writer in opened:
             writer.close()
 
+    async def test_age_of_the_connection_does_not_end_a_request(self, log):
+        """A request on an old connection ended for a larger stalled one."""
+
+        async def handle(incoming):
+            incoming.respond(200)
+
+        server, address = await serve_requests(handle, log)
+        server.budget.limit_bytes = 300_000
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        assert await self.read_status(reader) == b'200'
+        await asyncio.sleep(1.5)
+        stalled_reader, stalled_writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        stalled_writer.write(self.HEAD + b'x' * 180_000)
+        await asyncio.sleep(0.1)
+        writer.write(self.HEAD + b'x' * 120_000)
+        assert await self.read_status(stalled_reader) == b'503'
+        writer.write(b'x' * 80_000)
+        assert await self.read_status(reader) == b'200'
+        stalled_writer.close()
+        writer.close()
+
     async def test_body_that_is_dropped_is_freed(self, log):
         """A copy that the connection kept would not be counted."""
         sizes = []
