Let a new term wait for the last call of the term before

Cause: each term has its own sender, so a process that lost its lease and acquired it again without another holder made the first call with the higher token one second after, while a call of the term before may arrive for three.

Change: the age of the last call is kept over the terms of the process.

--- a/src/clementineline/coordination/dutyleader.py
+++ b/src/clementineline/coordination/dutyleader.py
@@ -1,5 +1,6 @@
 """The duties of the leader towards the platform, over its terms."""
 
+import asyncio
 import math
 import time
 
@@ -35,6 +36,7 @@
         '_collector',
         '_dialect',
         '_directory',
+        '_earlier_call_at',
         '_get_routes',
         '_log',
         '_members',
@@ -65,6 +67,8 @@
         self._collector = usage.UsageCollector(self._settings.window_s)
         self._dialect = dialect
         self._directory = directory
+        # Loop time of the last call of the terms that have ended.
+        self._earlier_call_at = -math.inf
         self._get_routes = get_routes
         self._log = log
         self._members = members
@@ -82,8 +86,12 @@
 
     @property
     def call_age_s(self):
-        """Time since the last call of this term, in seconds."""
-        return self._sender.call_age_s if self._sender else math.inf
+        """Time since the last call of this process, in seconds."""
+        now = asyncio.get_running_loop().time()
+        age_s = now - self._earlier_call_at
+        if self._sender is not None:
+            age_s = min(age_s, self._sender.call_age_s)
+        return age_s
 
     def begin(self, term, quiet_s, measure_demand):
         """Begin a term; :meth:`list_tasks` has what must run in it.
@@ -93,10 +101,12 @@
         :param measure_demand: function from a model to the
             :class:`~placement.ModelDemand` of open submissions
         """
+        # A call of an earlier term has a lower token and may still arrive.
+        arrives_s = duties.UNANSWERED_CALL_S - self.call_age_s
         self._sender = duties.DutySender(
             self._name,
             term,
-            quiet_s,
+            max(quiet_s, arrives_s),
             self._settings,
             self._spacer,
             self._dialect,
@@ -146,6 +156,8 @@
 
     def end(self):
         """End the term."""
+        if self._sender is not None and self._sender.last_call_at is not None:
+            self._earlier_call_at = self._sender.last_call_at
         self._orderer = None
         self._reporter = None
         self._sender = None
--- a/src/clementineline/coordination/tests/test_duties.py
+++ b/src/clementineline/coordination/tests/test_duties.py
@@ -6,6 +6,7 @@
 import pytest
 
 from clementineline.coordination import duties
+from clementineline.coordination import dutyleader
 from clementineline.state import dialect
 from clementineline.state import settings
 from clementineline.transport import frames
@@ -94,6 +95,34 @@
         assert not sender.may_call()
 
 
+class TestDutyLeader:
+    async def test_next_term_waits_for_a_call_of_the_one_before(
+        self, term, log, monkeypatch
+    ):
+        # A lease lost and acquired again in the same process has a higher
+        # token, and its first call could overtake the last one before.
+        monkeypatch.setattr(duties, 'CALL_TIMEOUT_S', 0.02)
+        monkeypatch.setattr(duties, 'UNANSWERED_CALL_S', 0.2)
+        found = settings.DutySettings(
+            address='127.0.0.1:1', usage=False, scaling=False
+        )
+        leader = dutyleader.DutyLeader(
+            types.SimpleNamespace(duties=found, name='keeper-1', zone='a'),
+            *[None] * 6,
+            log,
+        )
+        leader.begin(term, 0.0, None)
+        leader._sender.last_call_at = asyncio.get_running_loop().time()
+        leader.end()
+        assert leader.call_age_s < 0.1
+        leader.begin(term, 0.0, None)
+        await asyncio.sleep(0.05)
+        assert not leader._sender.may_call()
+        assert leader.call_age_s < 0.2
+        await asyncio.sleep(0.16)
+        assert leader._sender.may_call()
+
+
 class TestCallSpacer:
     def test_calls_stay_below_the_rate(self):
         # Two leaders in a row share the rate that the API accepts.
