Tell which key, organisation and refusal a request would meet

Cause: 'clementineline where' answered for a request without a key as if it needed none, so it named an endpoint for what would get 401, and did not prefer idle connections as the real choice does. Change: the caller's key is read from a file or standard input, the decision of the gateway on keys and routes answers first, with status and Retry-After, and the answer can be printed as JSON.

--- a/src/clementineline/commands/where.py
+++ b/src/clementineline/commands/where.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import json
+import pathlib
+import sys
+
+import msgspec
 
 from clementineline.commands import operator
 from clementineline import errors
@@ -23,6 +27,8 @@
     version_min: int = 0,
     length_hint: float = 0.0,
     prompt_tokens: int = 0,
+    key_file: str = '',
+    as_json: bool = False,
 ):
     """Print where a gateway or keeper would send a request now, and why.
 
@@ -36,20 +42,58 @@
     :param version_min: oldest version that may run the item
     :param length_hint: output tokens that are expected of the item
     :param prompt_tokens: prompt tokens of the item
+    :param key_file: file with the caller's key, ``-`` for standard input; a
+        key on the command line would be visible to other users of the machine
+    :param as_json: print the answer as JSON
     """
     question = questions.PreviewRequest(
-        host, path, model, version_min, length_hint, prompt_tokens
+        host,
+        path,
+        model,
+        version_min,
+        length_hint,
+        prompt_tokens,
+        _read_key(key_file),
     )
     address = frames.parse_address(process)
     answer = asyncio.run(_ask(address, question))
+    if as_json:
+        print(msgspec.json.encode(answer).decode())
     if not answer.choices:
         raise operator.CommandFailed(
-            f'{host}{path}: {answer.reason}', operator.EXIT_REFUSED
+            f'{host}{path}: would be refused with {answer.status}: '
+            f'{answer.reason}{_describe_return(answer)}',
+            operator.EXIT_REFUSED,
         )
+    if as_json:
+        return
+    if answer.organisation is not None:
+        print(f'organisation={answer.organisation or "(none)"}')
     for choice in answer.choices:
         _print_choice(answer.route, choice)
 
 
+def _read_key(key_file):
+    """Return the key in a file, None if no file is given."""
+    if not key_file:
+        return None
+    if key_file == '-':
+        return sys.stdin.readline().strip()
+    try:
+        return pathlib.Path(key_file).read_text().strip()
+    except OSError as error:
+        raise operator.CommandFailed(
+            f'{key_file}: cannot be read: {error.strerror}',
+            operator.EXIT_WRONG_INPUT,
+        ) from error
+
+
+def _describe_return(answer):
+    if not answer.retry_after_s:
+        return ''
+    return f', Retry-After {answer.retry_after_s:.1f} s'
+
+
 async def _ask(address, question):
     client = asking.QuestionClient(address, questions.Answer)
     try:
--- a/src/clementineline/coordination/preview.py
+++ b/src/clementineline/coordination/preview.py
@@ -4,14 +4,18 @@
 no permit of an endpoint with a limit is asked for or used.
 """
 
+from clementineline.coordination import authorization
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
+from clementineline.state import dialect
 from clementineline.state import questions
 from clementineline.state import submissions
 
 __all__ = ['preview_request']
 
+CURRENT = authorization.Standing(True)
+
 
 class _UnusedPermits:
     """Permits that are there already; none is asked for or used."""
@@ -23,7 +27,16 @@
         """Reserve nothing."""
 
 
-def preview_request(question, table, learned, list_engines, zone, now):
+def preview_request(
+    question,
+    table,
+    learned,
+    list_engines,
+    zone,
+    now,
+    standing=CURRENT,
+    has_idle=None,
+):
     """Return where a request would go now, and why.
 
     :param question: the :class:`~questions.PreviewRequest`
@@ -33,14 +46,23 @@
         to the endpoints that may get the request
     :param zone: availability zone of this process
     :param now: loop time, in seconds
+    :param standing: the :class:`~authorization.Standing` of the table
+    :param has_idle: see :func:`~forwarding.choose_endpoint`
     :returns: a :class:`~questions.PreviewAnswer` with a choice for each
         service of the route, of which requests choose one by weight
     """
     if table is None:
-        return questions.PreviewAnswer('', 'no route table is known', [])
-    route = table.match(question.host, question.path)
-    if route is None:
-        return questions.PreviewAnswer('', 'no route matches', [])
+        return _refuse(
+            '', authorization.UNAVAILABLE, 'no route table is known'
+        )
+    facts = dialect.CallFacts(
+        '', question.host, question.path, None, key=question.key
+    )
+    access = authorization.judge_call(table, facts, standing)
+    if access.status:
+        # A gateway reads the table once more before a final refusal.
+        return _refuse('', access.status, access.reason, access.retry_after_s)
+    route = access.route
     choices = []
     for target in route.targets:
         service = table.services.get(target.service)
@@ -51,7 +73,14 @@
             )
         else:
             state, choice = forwarding.place_call(
-                learned, target.service, route.name, candidates, [], zone, now
+                learned,
+                target.service,
+                route.name,
+                candidates,
+                [],
+                zone,
+                now,
+                has_idle=has_idle,
             )
             waits = False
         choices.append(
@@ -67,7 +96,22 @@
                 candidates=_describe(candidates, learned, target, now),
             )
         )
-    return questions.PreviewAnswer(route.name, '', choices)
+    if not any(choice.candidates for choice in choices):
+        return _refuse(
+            route.name,
+            authorization.UNAVAILABLE,
+            'no endpoint is known',
+            forwarding.RETRY_AFTER_S,
+        )
+    return questions.PreviewAnswer(
+        route.name, '', choices, organisation=access.organisation
+    )
+
+
+def _refuse(route, status, reason, retry_after_s=authorization.RETRY_AFTER_S):
+    if status != authorization.UNAVAILABLE:
+        retry_after_s = 0.0
+    return questions.PreviewAnswer(route, reason, [], status, retry_after_s)
 
 
 def _place_item(question, route, service, candidates, learned, now):
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -6,6 +6,7 @@
 import os
 
 from clementineline import clocks
+from clementineline.coordination import authorization
 from clementineline.coordination import completion
 from clementineline.coordination import connections
 from clementineline.coordination import crashes
@@ -311,6 +312,8 @@
                 self._list_candidates,
                 self._settings.zone,
                 asyncio.get_running_loop().time(),
+                authorization.Standing(self._route_watcher.current),
+                self._pool.has_idle,
             )
         return await self._answer(question)
 
--- a/src/clementineline/platform/tests/test_preview.py
+++ b/src/clementineline/platform/tests/test_preview.py
@@ -1,12 +1,14 @@
 """Where a request would go now, as running processes answer it."""
 
 import asyncio
+import json
 
 import pytest
 
 from clementineline.commands import operator
 from clementineline.commands import where
 from clementineline.coordination import completion
+from clementineline.platform.tests import standin
 
 
 def set_speeds(process, service, speeds):
@@ -52,3 +54,23 @@
         gateway = served.gateways['gateway-1']
         with pytest.raises(operator.CommandFailed, match='no route'):
             await ask(gateway, 'shop.example', '/nowhere/')
+
+    async def test_key_decides_as_for_the_request_itself(
+        self, served, capsys, tmp_path, wait_until
+    ):
+        """Guards against a choice for a request that would get 401."""
+        gateway = served.gateways['gateway-1']
+        manifest = standin.build_manifest(2)
+        manifest['tenants'] = [{'name': 'north', 'apiKeys': ['k1']}]
+        served.store.put('config', 'main', manifest)
+        await wait_until(lambda: gateway._routes.table.version == 2)
+        request = ('shop.example', '/live/x')
+        with pytest.raises(operator.CommandFailed, match='with 401'):
+            await ask(gateway, *request)
+        path = tmp_path / 'key'
+        path.write_text('k1\n')
+        await ask(gateway, *request, key_file=str(path), as_json=True)
+        printed = capsys.readouterr().out.splitlines()
+        answer = json.loads([line for line in printed if line[0] == '{'][-1])
+        assert answer['organisation'] == 'north'
+        assert answer['choices'][0]['endpoint'] == 'i-desk'
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -400,6 +400,7 @@
     :param model: model of an item, empty for a call
     :param version_min: oldest version that may run the item
     :param length_hint: output tokens that the trainer expects of the item
+    :param key: key of the caller, None for none
     """
 
     host: str
@@ -408,6 +409,7 @@
     version_min: int = 0
     length_hint: float = 0.0
     prompt_tokens: int = 0
+    key: str | None = None
 
 
 class PreviewCandidate(msgspec.Struct, frozen=True):
@@ -451,12 +453,20 @@
 class PreviewAnswer(msgspec.Struct, frozen=True, tag='preview_answer'):
     """Where a request would go now.
 
-    :param reason: why there is no choice, empty if there are choices
+    :param reason: why the request would be refused, empty if there are choices
+    :param status: HTTP status of the refusal, 0 for none
+    :param retry_after_s: time after which the caller may retry, in seconds; 0
+        if the refusal is final
+    :param organisation: organisation that the request runs for, '' for none;
+        None if organisations are not in force
     """
 
     route: str
     reason: str
     choices: list[PreviewChoice]
+    status: int = 0
+    retry_after_s: float = 0.0
+    organisation: str | None = None
 
 
 Question = (
