Move the choice of an endpoint into a module of its own; plainer wording

Change: choose_service, choose_endpoint and place_call are in endpointchoice.py, unchanged; comments of twelve places are reworded.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -1,4 +1,4 @@
-"""Forwarding of live calls: choice of endpoint, retries, hedges, verdicts."""
+"""Forwarding of live calls: attempts, retries, hedges, verdicts."""
 
 import asyncio
 import dataclasses
@@ -6,6 +6,7 @@
 
 from clementineline.coordination import completion
 from clementineline.coordination import draining
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import ratelimits
 from clementineline.coordination import usage
 from clementineline import errors
@@ -13,11 +14,8 @@
 
 __all__ = [
     'CallForwarder',
-    'choose_endpoint',
-    'choose_service',
     'choose_verdict',
     'delay_return',
-    'place_call',
 ]
 
 RESPONSE_MAX_BYTES = 32 * 1024 * 1024
@@ -27,13 +25,6 @@
 HEDGE_DELAY_SHARE = 0.55
 # Delay after which callers may retry: about the duration of one call.
 RETRY_AFTER_S = 0.1
-# Load added to endpoints in other availability zones, as a share of their
-# slots, so that endpoints in the own zone are preferred.
-OTHER_ZONE_LOAD_PENALTY = 0.02
-
-# Load added to an endpoint with a limit, as a share of its slots: others get
-# the requests until all their slots are in use.
-LIMIT_LOAD_PENALTY = 1.0
 # Longest wait for a permit, as a share of the route's target latency.
 PERMIT_WAIT_SHARE = 0.25
 # Refusals because of limits after which a call goes only to endpoints without
@@ -49,105 +40,6 @@
 }
 
 
-def choose_service(targets, draw):
-    """Choose a service of a route at random, in proportion to the weights.
-
-    :param targets: the route's targets
-    :param draw: random number from 0 to 1
-    :returns: name of the service
-    """
-    total = sum(target.weight for target in targets)
-    remaining = draw * total
-    for target in targets:
-        remaining -= target.weight
-        if remaining < 0:
-            return target.service
-    return targets[-1].service
-
-
-def choose_endpoint(
-    candidates, tried, zone, now, unlimited=False, has_idle=None
-):
-    """Choose the endpoint with the lowest estimated load.
-
-    Endpoints that are in backoff after a failure come last. An endpoint that
-    names a limit comes after those that have free slots, unless its limit may
-    have ended.
-
-    :param candidates: :class:`~directory.EndpointState` of the service
-    :param tried: ids of endpoints that this call was already sent to
-    :param zone: availability zone of this process
-    :param now: loop time, in seconds
-    :param unlimited: whether only an endpoint without a limit is chosen
-    :param has_idle: function from an endpoint to whether there is an idle
-        connection to it, which decides among those of equal load; or None
-    :returns: an :class:`~directory.EndpointState`, or None
-    """
-    best = None
-    best_score = None
-    for state in candidates:
-        if state.id in tried:
-            continue
-        load = state.estimate_load(now)
-        if state.record.zone != zone:
-            load += OTHER_ZONE_LOAD_PENALTY
-        load *= max(state.slowness, 1.0)
-        limit = state.limit
-        if limit is not None:
-            if unlimited:
-                continue
-            if now - limit.known.named_at < ratelimits.RECHECK_S:
-                load += LIMIT_LOAD_PENALTY
-        in_backoff = now < state.backoff_until
-        score = (
-            in_backoff,
-            load + 0.3 * (state.slowness - 1.0),
-            has_idle is not None and not has_idle(state),
-            random.random(),
-        )
-        if best is None or score < best_score:
-            best, best_score = state, score
-    return best
-
-
-def place_call(
-    learned,
-    service,
-    route,
-    candidates,
-    tried,
-    zone,
-    now,
-    unlimited=False,
-    has_idle=None,
-):
-    """Choose an endpoint by expected completion or by load.
-
-    :param learned: the :class:`~completion.CompletionModel`, or None
-    :param service: name of the service
-    :param route: name of the call's route
-    :param candidates: see :func:`choose_endpoint`, as the further parameters
-    :returns: ``(state, choice)`` with the :class:`~directory.EndpointState`,
-        or None, and the :class:`~completion.Choice`, None if the endpoint was
-        chosen by load
-    """
-    if learned is not None:
-        choice = learned.choose_for_call(
-            service, route, candidates, tried, now, unlimited
-        )
-        if choice is not None:
-            return choice.state, choice
-    state = choose_endpoint(
-        candidates,
-        tried,
-        zone,
-        now,
-        unlimited=unlimited,
-        has_idle=has_idle,
-    )
-    return state, None
-
-
 def choose_verdict(last, verdict):
     """Choose the verdict that a caller gets if no later one is final.
 
@@ -169,7 +61,7 @@
 
 
 def delay_return(verdict, drains, directory, service, deadline):
-    """Replace the delay of a refusal for want of room.
+    """Replace the delay of a refusal for lack of capacity.
 
     :param verdict: the verdict that the caller gets
     :param drains: the :class:`~draining.DrainEstimator`
@@ -285,7 +177,7 @@
             '' for none; None if organisations are not in force
         :returns: a verdict
         """
-        service = choose_service(route.targets, random.random())
+        service = endpointchoice.choose_service(route.targets, random.random())
         attempts = _Attempts(
             route,
             head,
@@ -366,7 +258,7 @@
         if len(attempts.tried) >= attempts.route.attempts_max:
             return None
         # Endpoints may have left since the last attempt.
-        state, placed_by = place_call(
+        state, placed_by = endpointchoice.place_call(
             self._learned,
             attempts.service,
             attempts.route.name,
--- a/src/clementineline/coordination/preview.py
+++ b/src/clementineline/coordination/preview.py
@@ -5,6 +5,7 @@
 """
 
 from clementineline.coordination import authorization
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
@@ -47,7 +48,7 @@
     :param zone: availability zone of this process
     :param now: loop time, in seconds
     :param standing: the :class:`~authorization.Standing` of the table
-    :param has_idle: see :func:`~forwarding.choose_endpoint`
+    :param has_idle: see :func:`~endpointchoice.choose_endpoint`
     :returns: a :class:`~questions.PreviewAnswer` with a choice for each
         service of the route, of which requests choose one by weight
     """
@@ -72,7 +73,7 @@
                 question, route, service, candidates, learned, now
             )
         else:
-            state, choice = forwarding.place_call(
+            state, choice = endpointchoice.place_call(
                 learned,
                 target.service,
                 route.name,
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -11,6 +11,7 @@
 
 from clementineline.coordination import completion
 from clementineline.coordination import draining
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
 from clementineline.coordination import usage
@@ -153,7 +154,7 @@
         :returns: a verdict; :class:`~verdicts.Answered` with an empty body if
             the complete stream was sent to the caller
         """
-        service = forwarding.choose_service(route.targets, random.random())
+        service = endpointchoice.choose_service(route.targets, random.random())
         stream = _Stream(facts.last_event, organisation)
         last = None
         while len(stream.tried) < route.attempts_max:
@@ -166,7 +167,7 @@
                 )
                 break
             refusals = len(stream.refused)
-            state, stream.placed_by = forwarding.place_call(
+            state, stream.placed_by = endpointchoice.place_call(
                 self._learned,
                 service,
                 route.name,
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -11,8 +11,8 @@
 
 from clementineline.coordination import authorization
 from clementineline.coordination import carryover
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import fairorder
-from clementineline.coordination import forwarding
 from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
 from clementineline.coordination import ledger
@@ -412,7 +412,7 @@
         if route is None:
             return []
         draw = zlib.crc32(item_id.encode()) / 2**32
-        service = forwarding.choose_service(route.targets, draw)
+        service = endpointchoice.choose_service(route.targets, draw)
         assigned = self._list_assigned(service, submission.model)
         if assigned is not None:
             return assigned
--- a/src/clementineline/coordination/tests/placementload.py
+++ b/src/clementineline/coordination/tests/placementload.py
@@ -18,7 +18,7 @@
 from clementineline.coordination import completion
 from clementineline.coordination import costs
 from clementineline.coordination import directory
-from clementineline.coordination import forwarding
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
 from clementineline.coordination import placement
@@ -354,7 +354,7 @@
             return min(others, key=count_work)
         if self.policy != 'expected completion':
             model = None
-        return forwarding.place_call(
+        return endpointchoice.place_call(
             model, 'lm', 'r', states, tried, 'a', now
         )[0]
 
--- a/src/clementineline/coordination/tests/test_authorization.py
+++ b/src/clementineline/coordination/tests/test_authorization.py
@@ -317,7 +317,7 @@
         assert await setup.decide('x') == 401
 
     async def test_process_that_is_cut_off_closes_if_it_is_told_to(self):
-        # A key that was removed meanwhile would be accepted for hours.
+        # Guards against a removed key that is accepted for hours.
         setup = Setup(fail_closed=True)
         setup.start(build_table(1, {'n': 'north'}))
         setup.age_s = 4.9
--- a/src/clementineline/coordination/tests/test_completion.py
+++ b/src/clementineline/coordination/tests/test_completion.py
@@ -4,7 +4,7 @@
 
 from clementineline.coordination import completion
 from clementineline.coordination import costs
-from clementineline.coordination import forwarding
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import itemplacement
 from clementineline.coordination import placement
 from clementineline.coordination.tests import placementload
@@ -82,9 +82,11 @@
         chosen = []
         for _ in range(200):
             if model is None:
-                state = forwarding.choose_endpoint(states, ['e1'], 'a', 0.0)
+                state = endpointchoice.choose_endpoint(
+                    states, ['e1'], 'a', 0.0
+                )
             else:
-                state, _ = forwarding.place_call(
+                state, _ = endpointchoice.place_call(
                     model, 'lm', 'r', states, ['e1'], 'a', 0.0
                 )
             state.in_flight += 1
--- a/src/clementineline/coordination/tests/test_connections.py
+++ b/src/clementineline/coordination/tests/test_connections.py
@@ -6,7 +6,7 @@
 import pytest
 
 from clementineline.coordination import connections
-from clementineline.coordination import forwarding
+from clementineline.coordination import endpointchoice
 from clementineline.coordination.tests import test_placement
 from clementineline.transport import http
 from clementineline.transport import outgoing
@@ -59,7 +59,7 @@
             (True, b'timeout=2', 4.5, False),
             (True, b'timeout=soon', 4.5, False),
             (True, b'timeout=9000', 61.0, False),
-            # Guards against a change that nobody asked for.
+            # Guards against a change of the default.
             (False, b'timeout=15', 4.5, False),
             (False, b'timeout=15', 3.5, True),
         ],
@@ -117,12 +117,12 @@
         states = [test_placement.build_engine(name) for name in 'abc']
         pool.release(states[1], FakeClient())
         for _ in range(20):
-            chosen = forwarding.choose_endpoint(
+            chosen = endpointchoice.choose_endpoint(
                 states, [], 'walvis-a', 0.0, has_idle=pool.has_idle
             )
             assert chosen is states[1]
         states[1].in_flight = 1
-        chosen = forwarding.choose_endpoint(
+        chosen = endpointchoice.choose_endpoint(
             states, [], 'walvis-a', 0.0, has_idle=pool.has_idle
         )
         assert chosen is not states[1]
--- a/src/clementineline/coordination/tests/test_fairorder.py
+++ b/src/clementineline/coordination/tests/test_fairorder.py
@@ -380,7 +380,7 @@
         assert play.served['a'] > 0.95 * 10.0 * play.rate
 
     def test_burst_does_not_delay_others(self):
-        # Guards against a burst that uses up what others need meanwhile.
+        # Guards against a burst that uses up the capacity of others.
         play = Play(True)
         paid = []
         names = []
--- a/src/clementineline/coordination/usage.py
+++ b/src/clementineline/coordination/usage.py
@@ -37,7 +37,7 @@
     """Notes once that an endpoint began an attempt.
 
     :param on_began: function that takes the organisation and the Unix time;
-        None if nobody needs the notice
+        None if the beginning is not counted
     :param organisation: name of the organisation; '' or None for none
     """
 
--- a/src/clementineline/coordination/usagereports.py
+++ b/src/clementineline/coordination/usagereports.py
@@ -1,7 +1,7 @@
 """Reports of usage, which the leader sends.
 
 The counts of a window are fixed in the platform's store before they are sent,
-so that all reports of a window have the same counts, whoever sends them.
+so that all reports of a window have the same counts, from any process.
 """
 
 import asyncio
@@ -98,7 +98,7 @@
         if found is None:
             self._version = 0
             return
-        # A window that another leader has fixed meanwhile replaces nothing:
+        # A window that another leader has fixed in between replaces nothing:
         # both come from the same object.
         self.windows.update(_decode_windows(found.value))
         sent_through = found.value.get('sent_through')
--- a/src/clementineline/daemons/submissionservice.py
+++ b/src/clementineline/daemons/submissionservice.py
@@ -10,7 +10,7 @@
 import time
 
 from clementineline.coordination import authorization
-from clementineline.coordination import forwarding
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import opensubmissions
 from clementineline.daemons import retryafter
 from clementineline import errors
@@ -121,7 +121,7 @@
 
     async def _record_submission(self, incoming, facts, access):
         route = access.route
-        service = forwarding.choose_service(route.targets, random.random())
+        service = endpointchoice.choose_service(route.targets, random.random())
         try:
             submission = self._dialect.decode_submission(
                 facts,
--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -40,7 +40,7 @@
         try:
             path.mkdir()
         except FileExistsError:
-            # The keeper, another process, has created the file meanwhile.
+            # The keeper, another process, has created the file in between.
             continue
 
 
--- a/src/clementineline/platform/tests/test_access.py
+++ b/src/clementineline/platform/tests/test_access.py
@@ -215,7 +215,8 @@
         assert access.list_names() == ['north']
 
     async def test_no_key_is_checked_before_a_table_is_known(self, access):
-        # After a restart nobody knows whether organisations are in force.
+        # A process that has restarted does not know whether organisations are
+        # in force.
         access.gateway._routes.table = None
         assert await access.call('/live/a', NORTH) == 503
         for method in ('GET', 'DELETE'):
@@ -223,7 +224,7 @@
             assert status == 503
 
     async def test_keys_are_in_no_log_line_or_error(self, access):
-        # Whoever reads the logs would get the keys.
+        # Guards against keys in logs, which many people may read.
         with testing.capture_logs() as lines:
             await access.call('/live/a', NORTH)
             await access.call('/live/a', WRONG)
--- a/src/clementineline/platform/tests/test_codecs.py
+++ b/src/clementineline/platform/tests/test_codecs.py
@@ -280,7 +280,7 @@
     def test_announced_idle_timeouts_are_used_only_if_asked_for(
         self, tmp_path, given, expected
     ):
-        # Guards against longer idle connections that nobody asked for.
+        # Guards against longer idle connections without the contract.
         path = tmp_path / 'node.json'
         boot = {
             'nodeName': 'entry-1',
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 from clementineline.coordination import connections
 from clementineline.coordination import crashes
 from clementineline.coordination import directory
+from clementineline.coordination import endpointchoice
 from clementineline.coordination import forwarding
 from clementineline.coordination import itemruns
 from clementineline.coordination import ratelimits
@@ -53,7 +54,7 @@
         states = [build_state(name) for name in 'abc']
         states[0].in_flight = 2
         states[1].in_flight = 1
-        chosen = forwarding.choose_endpoint(states, ['c'], 'walvis-a', 0.0)
+        chosen = endpointchoice.choose_endpoint(states, ['c'], 'walvis-a', 0.0)
         assert chosen.id == 'b'
 
     def test_endpoint_in_backoff_is_chosen_only_without_others(self):
@@ -61,7 +62,7 @@
         state.backoff_until = 9.0
         other = build_state('b')
         other.in_flight = 40
-        choose = forwarding.choose_endpoint
+        choose = endpointchoice.choose_endpoint
         assert choose([state, other], [], 'walvis-a', 0.0) is other
         assert choose([state], [], 'walvis-a', 0.0) is state
 
@@ -79,7 +80,7 @@
     )
     def test_service_is_chosen_by_weight(self, draw, service):
         targets = (routes.Target('a', 90), routes.Target('b', 10))
-        assert forwarding.choose_service(targets, draw) == service
+        assert endpointchoice.choose_service(targets, draw) == service
 
 
 @pytest.fixture
--- a/src/clementineline/platform/tests/test_organisations.py
+++ b/src/clementineline/platform/tests/test_organisations.py
@@ -126,7 +126,7 @@
         )
 
     def test_record_holds_the_name_and_no_key(self):
-        # Whoever reads the store would get the key.
+        # Guards against keys in records of the store.
         submission = self.decode('north')
         assert submission.organisation == 'north'
         assert submission.items[0].headers == (('Model', 'm0'),)
