Place by expected completion only among endpoints of uneven speed

Cause: the rule also held where the work of items can be told in advance. Change: only lasting speeds that differ by 1.3 put it into effect, so that deployments with even endpoints are served as before.

--- a/src/clementineline/coordination/completion.py
+++ b/src/clementineline/coordination/completion.py
@@ -39,9 +39,6 @@
 AUTO = 'auto'
 # Lasting speeds that differ by this factor make the choice matter.
 SPEED_RATIO_MIN = 1.3
-# So does work that differs by this factor between the median and the 90th
-# percentile, if it can be told in advance.
-SPREAD_MIN = 2.0
 VIEW_INTERVAL_S = 1.0
 # More are only known after many manifests; all are computed anew then.
 SERVICES_MAX = 64
@@ -51,7 +48,7 @@
 NOISE_LEFT_S = 0.3
 # Speeds within a factor of 1.15 are ties.
 SPEED_STEP = math.log(1.15)
-# As in forwarding.py, in relation to the duration of a call.
+# As in endpointchoice.py, in relation to the duration of a call.
 OTHER_ZONE_PENALTY = 0.02
 # Width of the transition from no wait to a wait for a slot, in requests. The
 # number of requests that others have at an endpoint is not known exactly.
@@ -66,17 +63,17 @@
 CANCELLED_FACTOR = 2.0
 
 
-def is_worthwhile(known_speeds, spreads):
+def is_worthwhile(known_speeds):
     """Return whether placement by expected completion pays for a service.
 
+    Differences between the costs of its requests are not enough: among
+    endpoints of one speed, nothing was gained by them.
+
     :param known_speeds: learned lasting speeds of its endpoints
-    :param spreads: for each kind of its requests, how much of the difference
-        between costs is known in advance
     """
-    if known_speeds:
-        if max(known_speeds) >= SPEED_RATIO_MIN * min(known_speeds):
-            return True
-    return max(spreads, default=1.0) > SPREAD_MIN
+    if not known_speeds:
+        return False
+    return max(known_speeds) >= SPEED_RATIO_MIN * min(known_speeds)
 
 
 def quantise_speed(speed):
@@ -183,15 +180,15 @@
             return view
         before = view is not None and view.in_effect
         rated = speeds.rate_endpoints(self._list_usable(service), now)
-        spreads = []
-        for kind in self._kinds.get(service, ()):
-            spreads.append(self.costs.find_predictable_spread(kind))
-        worthwhile = is_worthwhile(list(rated.values()), spreads)
+        worthwhile = is_worthwhile(list(rated.values()))
         view = ServiceView(rated, worthwhile, now)
         if len(self._views) >= SERVICES_MAX:
             self._views.clear()
         self._views[service] = view
         if worthwhile != before:
+            spreads = []
+            for kind in self._kinds.get(service, ()):
+                spreads.append(self.costs.find_predictable_spread(kind))
             self._log.info(
                 'placement changed',
                 service=service,
