Share the check whether a process accepts connections

Cause: the keeper's check of the lease holder repeated that of departed members. Change: frames.accepts_connections serves both, each with its own time limit. Measured: test_departures, test_lease, test_takeovers and transport pass (79).

--- a/src/clementineline/coordination/departures.py
+++ b/src/clementineline/coordination/departures.py
@@ -10,7 +10,6 @@
 
 from clementineline import errors
 from clementineline.protocol import links
-from clementineline.transport import channels
 from clementineline.transport import frames
 
 __all__ = ['DepartedMemberRemover']
@@ -24,15 +23,7 @@
 
 
 async def _accepts_connections(address):
-    """Return whether a process accepts connections at an address."""
-    try:
-        channel = await channels.open_channel(
-            frames.parse_address(address), CONNECT_TIMEOUT_S
-        )
-    except (errors.ConnectionLost, errors.SettingsError):
-        return False
-    channel.close()
-    return True
+    return await frames.accepts_connections(address, CONNECT_TIMEOUT_S)
 
 
 class DepartedMemberRemover:
--- a/src/clementineline/daemons/keeper.py
+++ b/src/clementineline/daemons/keeper.py
@@ -24,7 +24,6 @@
 from clementineline import errors
 from clementineline.state import questions
 from clementineline.state import textlog
-from clementineline.transport import channels
 from clementineline.transport import frames
 
 __all__ = ['Keeper']
@@ -43,15 +42,7 @@
 
 
 async def _is_reachable(address):
-    """Return whether a process accepts connections at ``HOST:PORT``."""
-    try:
-        channel = await channels.open_channel(
-            frames.parse_address(address), HOLDER_CONNECT_TIMEOUT_S
-        )
-    except (errors.ConnectionLost, errors.SettingsError):
-        return False
-    channel.close()
-    return True
+    return await frames.accepts_connections(address, HOLDER_CONNECT_TIMEOUT_S)
 
 
 class Keeper(base.BaseProcess):
--- a/src/clementineline/transport/frames.py
+++ b/src/clementineline/transport/frames.py
@@ -19,6 +19,7 @@
     'MAX_FRAME_BYTES',
     'Address',
     'FrameStream',
+    'accepts_connections',
     'open_stream',
     'parse_address',
     'start_server',
@@ -65,6 +66,22 @@
     return Address(host.strip('[]'), int(port))
 
 
+async def accepts_connections(address, timeout_s):
+    """Return whether a process accepts connections at an address.
+
+    :param address: ``HOST:PORT``; False if it is malformed
+    :param timeout_s: longest time to wait for the connection, in seconds
+    """
+    try:
+        channel = await channels.open_channel(
+            parse_address(address), timeout_s
+        )
+    except (errors.ConnectionLost, errors.SettingsError):
+        return False
+    channel.close()
+    return True
+
+
 class FrameStream:
     """A TCP connection that carries frames.
 
