--- a/src/clementineline/daemons/tests/test_metrics.py
+++ b/src/clementineline/daemons/tests/test_metrics.py
@@ -1,9 +1,9 @@
 import asyncio
-import socket
 
 import pytest
 
 from clementineline.daemons import metrics
+from clementineline.standins import ports
 from clementineline.transport import frames
 from clementineline.transport import http
 from clementineline.transport import outgoing
@@ -36,9 +36,7 @@
 
     async def test_scraper_reads_the_metrics(self, log, monkeypatch):
         monkeypatch.setattr(metrics, 'LOAD_DELAY_S', 0.0)
-        with socket.socket() as sock:
-            sock.bind(('127.0.0.1', 0))
-            address = f'127.0.0.1:{sock.getsockname()[1]}'
+        address = f'127.0.0.1:{ports.find_free_ports(1)[0]}'
         process_metrics = metrics.Metrics({})
         process_metrics.count('orders_total', outcome='accepted')
         await asyncio.create_task(process_metrics.serve(address, log))
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -6,9 +6,9 @@
 
 import asyncio
 import json
-import socket
 import urllib.parse
 
+from clementineline.standins import ports
 from clementineline.transport import frames
 from clementineline.transport import http
 
@@ -16,10 +16,12 @@
 
 
 def find_free_port():
-    """Return a TCP port that is free on loopback."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free on loopback and stays so.
+
+    A port that the system chooses may be taken by an outgoing connection
+    before the test listens on it.
+    """
+    return ports.find_free_ports(1)[0]
 
 
 class _HttpStandIn:
--- a/src/clementineline/protocol/tests/test_links.py
+++ b/src/clementineline/protocol/tests/test_links.py
@@ -7,6 +7,7 @@
 from clementineline.protocol import links
 from clementineline.protocol import messages
 from clementineline.protocol import session as sessions
+from clementineline.standins import ports
 from clementineline.transport import frames
 
 
@@ -76,11 +77,7 @@
 
 
 def _find_free_port():
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    return ports.find_free_ports(1)[0]
 
 
 @pytest.fixture
--- a/src/clementineline/transport/tests/test_http.py
+++ b/src/clementineline/transport/tests/test_http.py
@@ -6,6 +6,7 @@
 import pytest
 
 from clementineline import errors
+from clementineline.standins import ports
 from clementineline.transport import frames
 from clementineline.transport import http
 from clementineline.transport import outgoing
@@ -48,9 +49,7 @@
 
 async def serve_requests(handle, log, **limits):
     """Start a server; return ``(server, address)``."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        port = sock.getsockname()[1]
+    port = ports.find_free_ports(1)[0]
     server = http.Server(handle, http.ServerLimits(**limits), log)
     address = frames.Address('127.0.0.1', port)
     await server.start(address)
