Review case 9: calls that last longer, a shorter pause

Cause: the calls of the case took 0.1 s, so on a slow machine fewer than two might be at servers at the moment of the crash.

Change: calls of 0.2 s, a pause of 0.2 s between requests.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,7 +8,7 @@
 from common2 import rig
 
 SERVERS = 3
-CALL_S = 0.1
+CALL_S = 0.2
 DOWN_S = 3.0
 # Steady state begins this long after the servers are back.
 STABLE_S = 3.0
@@ -94,7 +94,7 @@
                 deployment, number, f'/live/order/{number}'
             )
             served['/added/'] += await ask(deployment, number, '/added/prices')
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.2)
         record.write(f'served of {ASKED} each in steady state: {served}')
         return served['/added/'] * 4 >= served['/live/']
     finally:
