Settle creates of results that earlier owners left open

Cause: the store may carry out a create seconds after its sender has led last. Gateways that know no leader read it from the store; the next leader read the chunks once, when it opened the submission, and after the end it creates none that would meet the late one.

An owner now takes the number after the last known chunk as uncertain until a create has taken it: after a takeover, after its own create without an answer, and after an end that interrupts one. It creates that number itself, without results if it has none. A later create of the number has no effect, and an earlier one is adopted. Reads at the end of the list consult the store until then. The limit of eight seconds for late writes is gone.

Two further ways to the same state are closed: a refusal no longer clears the doubt about an earlier create without an answer, and the doubt after an end does not lapse by time.

add_chunk takes the chunk's number, since an empty chunk has the position of the next one; the test that adds chunks twice is as strict as before.

--- a/spec/check.py
+++ b/spec/check.py
@@ -14,6 +14,7 @@
 import minicheck
 import orders
 import samples
+import takeovers
 
 __all__ = ['main']
 
@@ -25,6 +26,7 @@
     ledger.Ledger,
     orders.Orders,
     samples.Samples,
+    takeovers.Takeovers,
     keyed_calls.KeyedCalls,
 )
 # Variants of the key's primary and backup home in roster 2. In roster 1 they
@@ -39,7 +41,9 @@
 
     :param mutation: ``(model class, removed guard)``, or '' for all models
     """
-    for model in (ledger.Ledger, orders.Orders, samples.Samples):
+    for model in MODELS:
+        if model is keyed_calls.KeyedCalls:
+            continue
         if mutation and mutation[0] is not model:
             continue
         guard = mutation[1] if mutation else ''
--- a/src/clementineline/coordination/opensubmissions.py
+++ b/src/clementineline/coordination/opensubmissions.py
@@ -15,6 +15,7 @@
     """A submission that the owner runs, with its results and item runs.
 
     :param record: its :class:`~ledger.SubmissionRecord`
+    :param inherited: whether an earlier owner may have run it
     :ivar submission: the :class:`~submissions.Submission`; a large one has
         no items until it is loaded
     :ivar loaded: whether its items and results were read from the ledger
@@ -29,6 +30,9 @@
     :ivar waiting: runs that wait for an engine, in the order of their start
     :ivar changed: event that is set, and replaced, when a chunk is added
     :ivar append_due: event that is set when results should be recorded
+    :ivar uncertain_chunk: number of the chunk that a create of unknown outcome
+        may still add: one of this owner without an answer, or one of an owner
+        before it; None if there is none
     :ivar unconfirmed_since: loop time, in seconds, since when the ledger may
         hold a chunk that is missing here; None if it holds none
     :ivar writer: task that records the results, or None
@@ -40,6 +44,7 @@
         'chunk_count',
         'ended',
         'finished',
+        'inherited',
         'loaded',
         'loading',
         'positions',
@@ -47,13 +52,15 @@
         'results',
         'runs',
         'submission',
+        'uncertain_chunk',
         'unconfirmed_since',
         'waiting',
         'writer',
     )
 
-    def __init__(self, record):
+    def __init__(self, record, inherited=False):
         self.record = record
+        self.inherited = inherited
         self.submission = record.submission
         self.ended = record.ended
         self.loaded = False
@@ -66,6 +73,7 @@
         self.waiting = []
         self.changed = asyncio.Event()
         self.append_due = asyncio.Event()
+        self.uncertain_chunk = None
         self.unconfirmed_since = None
         self.writer = None
 
@@ -80,16 +88,39 @@
         """Whether every item has a recorded result."""
         return len(self.results) >= len(self.submission.items)
 
-    def add_chunk(self, chunk):
+    def note_create(self, number):
+        """Note that a create may add a chunk from now on.
+
+        Until its outcome is known, readers of the ledger may know more than
+        this owner.
+
+        :param number: number of the chunk
+        """
+        self.uncertain_chunk = number
+        if self.unconfirmed_since is None:
+            self.unconfirmed_since = asyncio.get_running_loop().time()
+
+    def note_certainty(self):
+        """Note that no create of unknown outcome is left."""
+        self.uncertain_chunk = None
+        self.unconfirmed_since = None
+
+    def add_chunk(self, number, chunk):
         """Add a recorded chunk and stop the runs of the items it lists.
 
+        Only one create of a number succeeds, so the chunk also settles the
+        outcome of all others of its number.
+
+        :param number: number of the chunk, counted from 0
         :param chunk: the :class:`~submissions.ResultChunk`; the positions of
             its results are final
         """
-        if chunk.first < len(self.results):
+        if number < self.chunk_count:
             # The chunk was read from the ledger before its create returned.
             return
         self.chunk_count += 1
+        if self.uncertain_chunk is not None and number >= self.uncertain_chunk:
+            self.note_certainty()
         for result in chunk.results:
             self.positions[result.item_id] = len(self.results)
             self.results.append(result)
--- a/src/clementineline/coordination/recording.py
+++ b/src/clementineline/coordination/recording.py
@@ -55,7 +55,13 @@
         self.on_recorded = lambda count: None
 
     async def run(self, open_submission):
-        """Record an open submission's results until it is complete."""
+        """Record an open submission's results until it is complete.
+
+        :param open_submission: the :class:`~opensubmissions.OpenSubmission`,
+            loaded
+        """
+        if not open_submission.finished:
+            await self.settle(open_submission)
         while not open_submission.complete:
             open_submission.append_due.clear()
             if not open_submission.finished:
@@ -74,8 +80,22 @@
             else:
                 await asyncio.sleep(APPEND_RETRY_DELAY_S)
 
+    async def settle(self, open_submission):
+        """Make sure that no create of unknown outcome adds results later.
+
+        Creates an empty chunk, unless one of these creates takes its number
+        first. Either one leaves the others without effect.
+
+        :param open_submission: the :class:`~opensubmissions.OpenSubmission`,
+            loaded
+        """
+        while open_submission.uncertain_chunk is not None:
+            if not self._may_lead():
+                await asyncio.sleep(APPEND_RETRY_DELAY_S)
+                continue
+            await self._create_chunk(open_submission, [])
+
     async def _append_chunk(self, open_submission):
-        submission_id = open_submission.submission.id
         chosen = []
         size = 0
         for result in open_submission.finished.values():
@@ -83,34 +103,46 @@
             if chosen and size > self._ledger.part_bytes:
                 break
             chosen.append(result)
+        await self._create_chunk(open_submission, chosen)
+
+    async def _create_chunk(self, open_submission, chosen):
+        """Create the next chunk, or adopt the one that has its number.
+
+        :param chosen: the results of the chunk
+        """
+        submission_id = open_submission.submission.id
         number = open_submission.chunk_count
         chunk = submissions.ResultChunk(
             len(open_submission.results), tuple(chosen)
         )
+        was_certain = open_submission.uncertain_chunk is None
         # Until the create is acknowledged, and if it never is, others may read
         # the chunk from the ledger before this owner knows of it.
-        open_submission.unconfirmed_since = asyncio.get_running_loop().time()
+        open_submission.note_create(number)
         try:
             await self._ledger.append(submission_id, number, chunk)
         except errors.WriteConflict:
             await self._adopt_chunk(open_submission, number)
             return
         except errors.PlatformError as error:
-            if not isinstance(error, errors.AmbiguousWrite):
-                open_submission.unconfirmed_since = None
+            # An earlier create of this number may still be carried out.
+            if was_certain and not isinstance(error, errors.AmbiguousWrite):
+                open_submission.note_certainty()
             self._log.info(
                 'results not recorded',
                 submission=submission_id,
+                chunk=number,
                 results=len(chosen),
+                certain=open_submission.uncertain_chunk is None,
                 reason=str(error),
             )
             await asyncio.sleep(APPEND_RETRY_DELAY_S)
             return
-        open_submission.unconfirmed_since = None
-        open_submission.add_chunk(chunk)
-        self.on_recorded(len(chosen))
+        open_submission.add_chunk(number, chunk)
+        if chosen:
+            self.on_recorded(len(chosen))
         self._log.info(
-            'results recorded',
+            'results recorded' if chosen else 'earlier creates barred',
             submission=submission_id,
             chunk=number,
             results=len(chosen),
@@ -137,5 +169,4 @@
                 chunk=number,
                 results=len(chunk.results),
             )
-            open_submission.unconfirmed_since = None
-            open_submission.add_chunk(chunk)
+            open_submission.add_chunk(number, chunk)
--- a/src/clementineline/coordination/submissionowner.py
+++ b/src/clementineline/coordination/submissionowner.py
@@ -37,9 +37,6 @@
 # second later, so reads consult the ledger while a create has been
 # unconfirmed for longer than this.
 UNCONFIRMED_READ_DELAY_S = 0.3
-# The store may apply an unacknowledged create up to six seconds later, so
-# reads consult the ledger until the create is older than this limit.
-LATE_WRITE_MAX_S = 8.0
 # Limit on the engines that are probed for a new submission, so that the
 # probes do not grow with the fleet.
 PROBED_ENGINES_MAX = 12
@@ -177,10 +174,12 @@
             submission = decoded.submission
             entry = self.open_submissions.get(submission.id)
             if entry is None:
-                entry = opensubmissions.OpenSubmission(decoded)
+                entry = opensubmissions.OpenSubmission(
+                    decoded, inherited=not self.synced
+                )
                 self.open_submissions[submission.id] = entry
                 if not decoded.ended:
-                    self._spawn(self._start_submission(entry, not self.synced))
+                    self._spawn(self._start_submission(entry))
             elif decoded.ended and not entry.ended:
                 self._end_submission(entry)
         for name in removed:
@@ -215,15 +214,16 @@
             while not entry.loaded:
                 entry.submission = await self._ledger.complete(entry.record)
                 chunks = await self._ledger.read_chunks(entry.submission.id)
-                for chunk in chunks:
-                    entry.add_chunk(chunk)
+                for number, chunk in enumerate(chunks):
+                    entry.add_chunk(number, chunk)
+                if entry.inherited and not entry.complete:
+                    # The owner before may have sent a create that the store
+                    # carries out later.
+                    entry.note_create(entry.chunk_count)
                 entry.loaded = True
 
-    async def _start_submission(self, entry, inherited):
-        """Load a submission and queue its unfinished items.
-
-        :param inherited: whether an earlier owner may have run some items
-        """
+    async def _start_submission(self, entry):
+        """Load a submission and queue its unfinished items."""
         age_s = time.time() - entry.submission.accepted_at
         while not entry.loaded:
             # Loading needs no lease check: a new submission has no other
@@ -238,7 +238,7 @@
             return
         submission = entry.submission
         self.on_submission(submission)
-        if inherited and not entry.complete:
+        if entry.inherited and not entry.complete:
             await self._replicator.gather([submission.id], self._cache)
         await self._prober.probe(
             self._list_engines(submission, '')[:PROBED_ENGINES_MAX]
@@ -361,6 +361,8 @@
         entry.waiting.clear()
         if entry.writer is not None:
             entry.writer.cancel()
+            entry.writer = None
+        self._settle(entry)
         self._log.info(
             'submission ended',
             submission=entry.submission.id,
@@ -370,6 +372,16 @@
         )
         self.wake()
 
+    def _settle(self, entry):
+        """Settle the creates whose outcome an ended submission left open.
+
+        The writer does so for one that is not ended.
+        """
+        if not entry.ended or entry.uncertain_chunk is None:
+            return
+        if entry.writer is None or entry.writer.done():
+            entry.writer = self._spawn(self.writer.settle(entry))
+
     def keep_texts(self):
         """Cache the texts of the incomplete groups of open submissions."""
         for entry in self.open_submissions.values():
@@ -723,6 +735,8 @@
     async def _remove_submission(self, entry):
         submission_id = entry.submission.id
         self.open_submissions.pop(submission_id, None)
+        if entry.writer is not None:
+            entry.writer.cancel()
         try:
             await self.load(entry)
             await self._ledger.remove(
@@ -753,6 +767,7 @@
             return None
         if not entry.loaded:
             await self.load(entry)
+        self._settle(entry)
         if after >= len(entry.results) and entry.unconfirmed_since is not None:
             await self._catch_up(entry)
         if after >= len(entry.results) and not entry.complete:
@@ -774,12 +789,9 @@
         age_s = asyncio.get_running_loop().time() - entry.unconfirmed_since
         if age_s < UNCONFIRMED_READ_DELAY_S:
             return
-        since = entry.unconfirmed_since
         chunks = await self._ledger.read_chunks(entry.submission.id)
-        for chunk in chunks:
-            entry.add_chunk(chunk)
-        if age_s > LATE_WRITE_MAX_S and entry.unconfirmed_since == since:
-            entry.unconfirmed_since = None
+        for number, chunk in enumerate(chunks):
+            entry.add_chunk(number, chunk)
         self._log.info(
             'ledger read again',
             submission=entry.submission.id,
--- a/src/clementineline/coordination/tests/test_recording.py
+++ b/src/clementineline/coordination/tests/test_recording.py
@@ -179,8 +179,8 @@
 
         async def append_slowly(*arguments):
             await append(*arguments)
-            for chunk in ledger.chunks:
-                open_submission.add_chunk(chunk)
+            for number, chunk in enumerate(ledger.chunks):
+                open_submission.add_chunk(number, chunk)
 
         ledger.append = append_slowly
         writing = start(open_submission)
@@ -207,6 +207,87 @@
                 await asyncio.sleep(0.001)
 
 
+class TestUncertainCreates:
+    """A create whose outcome is unknown may add results at any later time.
+
+    Guards against results that readers of the ledger see and the owner never
+    does (review/8).
+    """
+
+    async def test_create_of_an_earlier_owner_is_barred(self, ledger, start):
+        open_submission = build_open_submission()
+        open_submission.note_create(0)
+        start(open_submission)
+        async with asyncio.timeout(5):
+            while open_submission.uncertain_chunk is not None:
+                await asyncio.sleep(0.001)
+        other = submissions.Result('i3', 'completed', 'other')
+        ledger.late.append((0, submissions.ResultChunk(0, (other,))))
+        ledger.apply_late()
+        assert ledger.list_items() == []
+        assert open_submission.unconfirmed_since is None
+
+    async def test_create_of_an_earlier_owner_is_adopted(self, ledger, start):
+        open_submission = build_open_submission()
+        other = submissions.Result('i3', 'completed', 'other')
+        ledger.chunks.append(submissions.ResultChunk(0, (other,)))
+        open_submission.note_create(0)
+        start(open_submission)
+        async with asyncio.timeout(5):
+            while not open_submission.results:
+                await asyncio.sleep(0.001)
+        assert open_submission.results == [other]
+        assert open_submission.uncertain_chunk is None
+        assert len(ledger.chunks) == 1
+
+    async def test_refusal_says_nothing_of_an_earlier_create(
+        self, ledger, start
+    ):
+        """The create without an answer came first, then a 503."""
+        open_submission = build_open_submission()
+        ledger.faults = [
+            errors.AmbiguousWrite('no answer'),
+            errors.PlatformUnavailable('503'),
+        ]
+        writing = start(open_submission)
+        finish(open_submission, 'i0')
+        while ledger.faults:
+            await asyncio.sleep(0.001)
+        # The submission ends now, so nothing is created any more.
+        writing.cancel()
+        await asyncio.gather(writing, return_exceptions=True)
+        assert open_submission.unconfirmed_since is not None
+
+    async def test_cancelled_create_is_settled(self, ledger, log):
+        open_submission = build_open_submission()
+        writer = recording.ResultWriter(ledger, lambda: True, log)
+        ledger.faults = [errors.AmbiguousWrite('no answer')] * 2
+        async with asyncio.timeout(5):
+            finish(open_submission, 'i0')
+            await writer._append_chunk(open_submission)
+            assert open_submission.uncertain_chunk == 0
+            await writer.settle(open_submission)
+        assert len(ledger.chunks) == open_submission.chunk_count == 1
+        ledger.apply_late()
+        assert ledger.list_items() == []
+
+    async def test_nothing_is_settled_without_the_lease(self, ledger, log):
+        open_submission = build_open_submission()
+        open_submission.note_create(0)
+        writer = recording.ResultWriter(ledger, lambda: False, log)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await writer.settle(open_submission)
+        assert ledger.chunks == []
+
+    def test_empty_chunk_is_added_once(self):
+        """It has the position of the chunk after it."""
+        open_submission = build_open_submission()
+        for _ in range(2):
+            open_submission.add_chunk(0, submissions.ResultChunk(0, ()))
+        assert open_submission.chunk_count == 1
+
+
 class TestUrgency:
     """Results that complete the wanted groups are not held for a batch."""
 
--- a/src/clementineline/platform/tests/test_takeovers.py
+++ b/src/clementineline/platform/tests/test_takeovers.py
@@ -1,9 +1,10 @@
-"""Leaders that were frozen while another keeper led."""
+"""Leaders that were frozen or stopped before another keeper led."""
 
 import asyncio
 
 import pytest
 
+from clementineline.coordination import carryover
 from clementineline.state import questions
 
 ITEMS = 4
@@ -86,3 +87,54 @@
         keeper._start_leading()
         answer = await read
         assert isinstance(answer, questions.NotLeading)
+
+
+class TestLateCreate:
+    """The store carries out a create of results after its owner has gone."""
+
+    @pytest.mark.parametrize('ended', [False, True])
+    @pytest.mark.parametrize(
+        ('first', 'listed'), [('successor', 0), ('late', ITEMS)]
+    )
+    async def test_all_readers_see_the_same_results(
+        self, served, wait_until, monkeypatch, ended, first, listed
+    ):
+        """Gateways read results that the leader never listed (review/8).
+
+        :param first: whose create the store carries out first
+        """
+        # The successor has no text that it could record itself.
+        monkeypatch.setattr(carryover, 'restore_text', lambda *given: None)
+        gateway = served.gateways['gateway-1']
+        store = served.store
+        store.hold_kind = 'results-'
+        store.hold_writes = 1
+        assert await served.submit(gateway, 's1', items=ITEMS) == 202
+        await wait_until(lambda: store.held_writes)
+        for name in ('i-lm0', 'i-lm1'):
+            served.servers[name].gap_s = 60.0
+        if first == 'late':
+            store.hold_writes = 100
+        leader = served.find_leader()
+        await served.keepers.pop(leader).stop()
+        await wait_until(lambda: served.find_leader() not in (None, leader))
+        owner = served.keepers[served.find_leader()]._owner
+        await wait_until(lambda: owner.open_submissions['s1'].loaded)
+        if ended:
+            status, _, _ = await served.call(gateway, 'DELETE', '/api/lots/s1')
+            assert status == 200
+            # The leader looks at an ended submission when it is read.
+            await served.read(gateway, 's1')
+        if first == 'late':
+            await wait_until(lambda: len(store.held_writes) > 1)
+            store.hold_writes = 0
+        else:
+            await wait_until(lambda: store.get_spec('results-s1', '000000'))
+        store.apply_held_writes()
+        recorded = await gateway._submissions._ledger.read_chunks('s1')
+        assert sum(len(chunk.results) for chunk in recorded) == listed
+        await wait_until(
+            lambda: len(owner.open_submissions['s1'].results) == listed
+        )
+        _, page = await served.read(gateway, 's1')
+        assert page['next'] == listed
