Try barred requests again, and count endpoints that end together once

Cause: two endpoints that ended under a request were taken for proof against it, also if both held it at the same time, as they do with a path that many callers ask for. Only an answer or five minutes took that back, no answer can come to a request that is not sent, and each process that was told began the five minutes anew. Logs: `ended` with two and three instances within 1 ms, then 46 lines `request not sent any more` at each gateway.

Ends count separately only if the request was sent to one endpoint after the other had ended. A barred request is tried again after 5 s, then after four times the pause for each further end; a trial counts for all processes, and an attempt that found no endpoint leaves it to the next one of the call. Marks are told with the ages of sending and end, and lapse five minutes after the last end wherever they are.

Of the new tests, test_endpoints_that_end_together_do_not_bar_it failed before with 502; the others set or state what did not exist (trials, ages).

--- a/src/clementineline/coordination/crashes.py
+++ b/src/clementineline/coordination/crashes.py
@@ -2,27 +2,43 @@
 
 A request may end every endpoint that runs it. Each process notes the endpoints
 that ended while they held a request, and tells the others; after a few of them
-the request is not sent any more. A crash for another reason leaves one mark on
-each request that the endpoint held, which changes nothing: only a second
-endpoint makes a request suspect. An answer to the same request clears it, so
-that crashes which are far apart do not add up for a common request.
+the request is not sent any more. A crash for another reason leaves a mark on
+each request that the endpoint held. Such marks must not bar a common request,
+so endpoints count separately only if the request was sent to one after the
+other had ended, an answer to the same request clears it, and a request that is
+barred is tried again from time to time.
 """
 
 import asyncio
+import dataclasses
 import hashlib
+import math
 
 from clementineline.coordination import peers
 from clementineline.coordination import rendezvous
 from clementineline.coordination import telling
 from clementineline import errors
+from clementineline.protocol import verdicts
 from clementineline.state import questions
 
-__all__ = ['QUESTIONS', 'CrashRecord', 'identify_request', 'name_instance']
+__all__ = [
+    'QUESTIONS',
+    'CrashRecord',
+    'Trial',
+    'identify_request',
+    'name_instance',
+]
 
 # The second endpoint may end while a hedge is at a third one, so the limit
 # keeps a request from ending more than three.
 ENDED_MAX = 2
+# Time after the last end for which the ends under a request count.
 KEEP_S = 300.0
+# Time from the last end to the first trial of a request that is not sent any
+# more. Endpoints that crash are mostly back by then.
+TRIAL_PAUSE_S = 5.0
+# Factor by which the pause grows with each trial that ends an endpoint.
+TRIAL_PAUSE_FACTOR = 4.0
 REQUESTS_MAX = 10_000
 ASK_TIMEOUT_S = 0.5
 # A caller repeats a request some tens of milliseconds after a failure, at
@@ -56,9 +72,138 @@
     return f'{endpoint_id}@{born_ms}'
 
 
-def _list_counted(marks):
-    """Return the instances that count against a request, sorted."""
-    return sorted(marks.ended - marks.cleared)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """The end of an endpoint that held a request.
+
+    :param sent_at: loop time at which the request was sent to it, in seconds
+    :param ended_at: loop time at which its end was found, in seconds
+    """
+
+    sent_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Marks:
+    """What is known of a request.
+
+    :param ends: dict from the instance of an endpoint to its :class:`_End`
+    :param cleared: instances that do not count any more
+    :param tried_at: loop time of the last trial, in seconds; ``-inf`` if there
+        was none
+    """
+
+    ends: dict = dataclasses.field(default_factory=dict)
+    cleared: frozenset = frozenset()
+    tried_at: float = -math.inf
+
+    def merge(self, other):
+        """Return these marks and others; ends known already stay as known."""
+        return _Marks(
+            {**other.ends, **self.ends},
+            self.cleared | other.cleared,
+            max(self.tried_at, other.tried_at),
+        )
+
+    @property
+    def ended_at(self):
+        """Loop time of the last end, in seconds; ``-inf`` if there is none."""
+        return max(
+            (end.ended_at for end in self.ends.values()), default=-math.inf
+        )
+
+    def list_counted(self):
+        """Return the instances that count against the request, sorted."""
+        return sorted(self.ends.keys() - self.cleared)
+
+    def count_rounds(self):
+        """Return how often the request was sent and an endpoint ended.
+
+        Endpoints that held the request at the same time are one round, as they
+        may have ended for one other reason.
+        """
+        ends = [self.ends[instance] for instance in self.list_counted()]
+        rounds = 0
+        last_ended_at = -math.inf
+        for end in sorted(ends, key=lambda end: end.ended_at):
+            if end.sent_at < last_ended_at:
+                continue
+            rounds += 1
+            last_ended_at = end.ended_at
+        return rounds
+
+
+def _is_old(marks):
+    """Return whether no endpoint has ended under a request for long.
+
+    Trials do not prolong it, and neither does telling other processes.
+    """
+    return asyncio.get_running_loop().time() - marks.ended_at >= KEEP_S
+
+
+def _encode_marks(marks, now):
+    ages = {}
+    for instance, end in marks.ends.items():
+        ages[instance] = (now - end.sent_at, now - end.ended_at)
+    trial_age_s = now - marks.tried_at if marks.tried_at > -math.inf else None
+    return questions.CrashMarks(
+        frozenset(marks.ends), marks.cleared, ages, trial_age_s
+    )
+
+
+def _decode_marks(stated, now):
+    ends = {}
+    for instance in stated.ended:
+        sent_age_s, ended_age_s = stated.ages.get(instance, (0.0, 0.0))
+        ends[instance] = _End(now - sent_age_s, now - ended_age_s)
+    tried_at = -math.inf
+    if stated.trial_age_s is not None:
+        tried_at = now - stated.trial_age_s
+    return _Marks(ends, stated.cleared, tried_at)
+
+
+def _build_question(marks):
+    """Build the question that tells marks.
+
+    :param marks: dict from a request to its :class:`_Marks`
+    """
+    now = asyncio.get_running_loop().time()
+    stated = {}
+    for key, known in marks.items():
+        stated[key] = _encode_marks(known, now)
+    return questions.TellCrashes(stated)
+
+
+def _choose_trial_time(marks, rounds):
+    """Return the loop time of a barred request's next trial, in seconds.
+
+    :param rounds: how often an endpoint ended, at least ``ENDED_MAX``
+    """
+    pause_s = TRIAL_PAUSE_S * TRIAL_PAUSE_FACTOR ** (rounds - ENDED_MAX)
+    return max(marks.ended_at, marks.tried_at) + pause_s
+
+
+class Trial:
+    """The trial of a barred request that a call may hold.
+
+    It is spent by the first attempt that may have run. An attempt that found
+    no endpoint, or one that refused it, leaves it to the next attempt.
+
+    :ivar granted: whether the last attempt is the trial
+    :ivar left: whether the next attempt is the trial
+    """
+
+    __slots__ = ('granted', 'left')
+
+    def __init__(self):
+        self.granted = False
+        self.left = False
+
+    def note_verdict(self, verdict):
+        """Note the verdict of an attempt."""
+        self.left = self.granted and isinstance(verdict, verdicts.NotRun)
+        self.granted = False
 
 
 class CrashRecord:
@@ -71,6 +216,7 @@
     :ivar on_ended: called with the instances that another process found to
         have ended
     :ivar refused: number of times that a request was not sent any more
+    :ivar trials: number of times that such a request was tried again
     """
 
     __slots__ = (
@@ -78,19 +224,17 @@
         '_marks',
         '_members',
         '_name',
-        '_noted_at',
         '_peers',
         '_teller',
         'on_ended',
         'refused',
+        'trials',
     )
 
     def __init__(self, name, members, start, log):
-        # Marks, and loop times of their last change, by request; the oldest
-        # change comes first. Both sets of a request's marks only grow, so the
-        # processes agree in whatever order they are told.
+        # Marks by request; the oldest change comes first. Marks only grow, so
+        # the processes agree in whatever order they are told.
         self._marks = {}
-        self._noted_at = {}
         self._log = log
         self._members = members
         self._name = name
@@ -99,30 +243,37 @@
             members,
             self._ask_member,
             start,
-            questions.TellCrashes,
+            _build_question,
             TELL_DELAY_S,
         )
         self.on_ended = lambda instances: None
         self.refused = 0
+        self.trials = 0
 
     def __len__(self):
-        return sum(bool(_list_counted(each)) for each in self._marks.values())
+        return sum(bool(each.list_counted()) for each in self._marks.values())
 
-    def note(self, head, body, request_id, state):
+    def note(self, head, body, request_id, state, sent_at):
         """Note that an endpoint ended while it held a request.
 
         :param head: the request's :class:`~http.Head`
         :param state: the endpoint's :class:`~directory.EndpointState`
+        :param sent_at: loop time at which the request was sent to it, in
+            seconds
         """
         key = identify_request(head, body)
-        marks = questions.CrashMarks(ended=frozenset([name_instance(state)]))
-        counted = _list_counted(self._merge(key, marks))
+        now = asyncio.get_running_loop().time()
+        marks = self._merge(
+            key, _Marks({name_instance(state): _End(sent_at, now)})
+        )
+        rounds = marks.count_rounds()
         self._log.warning(
             'endpoint ended under a request',
             request=request_id,
             endpoint=state.id,
-            ended=counted,
-            sent_again=len(counted) < ENDED_MAX,
+            ended=marks.list_counted(),
+            rounds=rounds,
+            sent_again=rounds < ENDED_MAX,
         )
         self._teller.tell_all(key, self._marks[key])
 
@@ -134,59 +285,84 @@
         if not self._marks:
             return
         key = identify_request(head, body)
-        marks = self._marks.get(key)
-        if marks is None or not _list_counted(marks):
+        marks = self._get_marks(key)
+        if not marks.list_counted():
             return
         self._log.info(
             'request answered after a crash',
             request=request_id,
-            ended=_list_counted(marks),
+            ended=marks.list_counted(),
         )
-        self._merge(key, questions.CrashMarks(cleared=marks.ended))
+        self._merge(key, _Marks(cleared=frozenset(marks.ends)))
         self._teller.tell_all(key, self._marks[key])
 
-    def find_refusal(self, head, body, request_id):
+    def find_refusal(self, head, body, request_id, trial=None):
         """Return why a request is not sent any more, '' if it may be sent.
 
+        Only an answer clears a barred request, so it may be sent once in a
+        while. The trial counts for all processes, and an attempt that follows
+        it is refused.
+
         :param head: the request's :class:`~http.Head`
+        :param trial: the :class:`Trial` of the call
         """
+        trial = trial or Trial()
+        if trial.left:
+            trial.granted, trial.left = True, False
+            return ''
         self._forget_old()
         if not self._marks:
             return ''
-        marks = self._marks.get(identify_request(head, body))
-        counted = _list_counted(marks) if marks else []
-        if len(counted) < ENDED_MAX:
+        key = identify_request(head, body)
+        marks = self._get_marks(key)
+        rounds = marks.count_rounds()
+        if rounds < ENDED_MAX:
+            return ''
+        now = asyncio.get_running_loop().time()
+        trial_at = _choose_trial_time(marks, rounds)
+        if now >= trial_at:
+            self.trials += 1
+            trial.granted = True
+            self._log.warning(
+                'request tried again',
+                request=request_id,
+                ended=marks.list_counted(),
+                rounds=rounds,
+            )
+            self._teller.tell_all(key, self._merge(key, _Marks(tried_at=now)))
             return ''
         self.refused += 1
         self._log.warning(
-            'request not sent any more', request=request_id, ended=counted
+            'request not sent any more',
+            request=request_id,
+            ended=marks.list_counted(),
+            rounds=rounds,
+            trial_in_s=round(trial_at - now, 2),
         )
-        return f'{len(counted)} endpoints ended under this request'
+        return f'endpoints ended under this request {rounds} times in a row'
 
     def _merge(self, key, marks):
         """Add marks to those of a request; return all of them."""
-        self._forget_old()
-        known = self._marks.pop(key, questions.CrashMarks())
-        merged = questions.CrashMarks(
-            known.ended | marks.ended, known.cleared | marks.cleared
-        )
+        merged = self._get_marks(key).merge(marks)
+        self._marks.pop(key, None)
         self._marks[key] = merged
-        self._noted_at[key] = asyncio.get_running_loop().time()
         if len(self._marks) > REQUESTS_MAX:
-            self._forget(next(iter(self._marks)))
+            del self._marks[next(iter(self._marks))]
         return merged
 
+    def _get_marks(self, key):
+        """Return the marks of a request, without those that are too old."""
+        marks = self._marks.get(key)
+        if marks is None or _is_old(marks):
+            return _Marks()
+        return marks
+
     def _forget_old(self):
-        now = asyncio.get_running_loop().time()
         while self._marks:
             key = next(iter(self._marks))
-            if now - self._noted_at[key] < KEEP_S:
+            if not _is_old(self._marks[key]):
                 return
-            self._forget(key)
-
-    def _forget(self, key):
-        del self._marks[key]
-        del self._noted_at[key]
+            del self._marks[key]
 
     # Other processes.
 
@@ -212,9 +388,17 @@
                 self._learn(answer.marks)
 
     def _learn(self, told):
-        for key, marks in told.items():
+        """Add what another process told.
+
+        :param told: dict from a request to its :class:`~questions.CrashMarks`
+        """
+        now = asyncio.get_running_loop().time()
+        for key, stated in told.items():
+            marks = _decode_marks(stated, now)
+            if _is_old(marks):
+                continue
             self._merge(key, marks)
-            self.on_ended(marks.ended)
+            self.on_ended(stated.ended)
 
     async def answer(self, question):
         """Answer another process.
@@ -224,4 +408,5 @@
         if isinstance(question, questions.TellCrashes):
             self._learn(question.marks)
             return questions.Acknowledged()
-        return questions.CrashesAnswer(dict(self._marks))
+        self._forget_old()
+        return questions.CrashesAnswer(_build_question(self._marks).marks)
--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -5,6 +5,7 @@
 import random
 
 from clementineline.coordination import completion
+from clementineline.coordination import crashes
 from clementineline.coordination import draining
 from clementineline.coordination import endpointchoice
 from clementineline.coordination import ratelimits
@@ -91,6 +92,7 @@
         their limits
     :param organisation: name of the organisation that the call runs for, ''
         for none; None if organisations are not in force
+    :param trial: the call's :class:`~crashes.Trial`
     """
 
     route: object
@@ -104,6 +106,7 @@
     tried: list = dataclasses.field(default_factory=list)
     refused: list = dataclasses.field(default_factory=list)
     organisation: str | None = None
+    trial: crashes.Trial = dataclasses.field(default_factory=crashes.Trial)
 
 
 class CallForwarder:
@@ -211,7 +214,10 @@
                 return verdicts.MayHaveRun('time limit')
             if not pending or (hedge_at is not None and now >= hedge_at):
                 refusal = self._crash_record.find_refusal(
-                    attempts.head, attempts.body, attempts.request_id
+                    attempts.head,
+                    attempts.body,
+                    attempts.request_id,
+                    attempts.trial,
                 )
                 if refusal and not pending:
                     return choose_verdict(last, verdicts.MayHaveRun(refusal))
@@ -238,6 +244,7 @@
             for task in done:
                 pending.discard(task)
                 verdict = task.result()
+                attempts.trial.note_verdict(verdict)
                 if self._is_final(attempts, verdict):
                     return verdict
                 last = choose_verdict(last, verdict)
@@ -379,9 +386,9 @@
                 remaining_s,
                 organisation=attempts.organisation,
             )
+            sent_at = loop.time()
             client.send_request(head, attempts.body)
             notice.note_sent(usage.UNANSWERED_COUNT_S)
-            sent_at = loop.time()
             reply = await client.receive_head()
             body = await client.receive_body(RESPONSE_MAX_BYTES)
             complete = True
@@ -390,7 +397,11 @@
                 return None
             if await self._pool.has_ended(state):
                 self._crash_record.note(
-                    attempts.head, attempts.body, attempts.request_id, state
+                    attempts.head,
+                    attempts.body,
+                    attempts.request_id,
+                    state,
+                    sent_at,
                 )
             return verdicts.MayHaveRun(str(error))
         finally:
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -10,6 +10,7 @@
 import random
 
 from clementineline.coordination import completion
+from clementineline.coordination import crashes
 from clementineline.coordination import draining
 from clementineline.coordination import endpointchoice
 from clementineline.coordination import forwarding
@@ -156,10 +157,11 @@
         """
         service = endpointchoice.choose_service(route.targets, random.random())
         stream = _Stream(facts.last_event, organisation)
+        trial = crashes.Trial()
         last = None
         while len(stream.tried) < route.attempts_max:
             refusal = self._crash_record.find_refusal(
-                incoming.head, incoming.body, incoming.request_id
+                incoming.head, incoming.body, incoming.request_id, trial
             )
             if refusal:
                 last = forwarding.choose_verdict(
@@ -185,6 +187,7 @@
             verdict = await self._attempt(
                 route, state, stream, incoming, deadline
             )
+            trial.note_verdict(verdict)
             if isinstance(verdict, verdicts.Answered):
                 took_s = asyncio.get_running_loop().time() - started
                 self.drains.note_answer(service, took_s)
@@ -292,6 +295,7 @@
                 stream.last_event,
                 stream.organisation,
             )
+            sent_at = loop.time()
             client.send_request(head, incoming.body)
             notice.note_sent()
             gap_s = DATA_GAP_TIMEOUT_S if route.resumable else None
@@ -346,6 +350,7 @@
                         incoming.body,
                         incoming.request_id,
                         state,
+                        sent_at,
                     )
             return verdicts.MayHaveRun(repr(error))
         finally:
--- a/src/clementineline/daemons/base.py
+++ b/src/clementineline/daemons/base.py
@@ -206,6 +206,7 @@
         process_metrics.set(
             'requests_not_sent_again', self._crash_record.refused
         )
+        process_metrics.set('requests_tried_again', self._crash_record.trials)
         process_metrics.set('held_bytes', self._budget.used_bytes)
         process_metrics.set('holds_ended', self._budget.ended)
         process_metrics.set('descriptors', len(os.listdir('/proc/self/fd')))
--- a/src/clementineline/daemons/metrics.py
+++ b/src/clementineline/daemons/metrics.py
@@ -68,6 +68,7 @@
     'endpoints_leaving': 'Endpoints that say that they leave.',
     'requests_with_crashes': 'Requests under which an endpoint has ended.',
     'requests_not_sent_again': 'Requests refused after two such ends.',
+    'requests_tried_again': 'Such requests that were sent again as a trial.',
     'endpoints_limited': 'Endpoints that name a limit of requests a second.',
     'held_bytes': 'Bytes of requests, responses and frames that are held.',
     'holds_ended': 'Requests, responses and frames ended to free memory.',
--- a/src/clementineline/platform/tests/test_crashes.py
+++ b/src/clementineline/platform/tests/test_crashes.py
@@ -174,6 +174,130 @@
         assert not len(service.gateways['gateway-1']._crash_record)
 
 
+class TestCommonRequests:
+    """A request that many callers send, and that ends no endpoint.
+
+    Guards against a request that is never sent again, so that no answer can
+    show that it is harmless (review/9).
+    """
+
+    async def _start_servers(self, service, wait_until):
+        """Start other instances of the plain service, as after a crash."""
+        for name in list(service.servers):
+            if name.startswith('i-desk'):
+                service.store.remove('servers', name)
+        for number in range(3):
+            await service.start_server(f'i-new{number}', 'desk')
+        for gateway in service.gateways.values():
+            await wait_until(
+                lambda gateway=gateway: (
+                    {
+                        state.id
+                        for state in gateway._directory.list_usable('desk')
+                    }
+                    == {'i-new0', 'i-new1', 'i-new2'}
+                )
+            )
+
+    async def _remove_ended(self, service, wait_until):
+        """Let the entries of ended servers lapse."""
+        names = [name for name, each in service.servers.items() if each.ended]
+        for name in names:
+            service.store.remove('servers', name)
+        for gateway in service.gateways.values():
+            await wait_until(
+                lambda gateway=gateway: (
+                    not set(names) & gateway._directory.endpoints.keys()
+                )
+            )
+
+    async def test_endpoints_that_end_together_do_not_bar_it(
+        self, service, caller, wait_until
+    ):
+        for server in service.servers.values():
+            server.delay_s = 0.2
+        calls = [
+            asyncio.create_task(caller.call(PROCESSES[number % 2], b'same'))
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.1)
+        for name, server in service.servers.items():
+            if name.startswith('i-desk'):
+                server.end()
+        await asyncio.gather(*calls)
+        assert all(
+            len(service.gateways[name]._crash_record) for name in PROCESSES
+        )
+        await self._start_servers(service, wait_until)
+        for name in PROCESSES:
+            status, _ = await caller.call(name, b'same')
+            assert status == 200
+
+    async def test_barred_request_is_tried_again(
+        self, service, caller, wait_until, monkeypatch
+    ):
+        """Two endpoints end one after the other, for another reason."""
+        monkeypatch.setattr(crashes, 'TRIAL_PAUSE_S', 1.5)
+        await caller.call('gateway-1', DEADLY)
+        for server in service.servers.values():
+            server.deadly_bodies.clear()
+        for name in PROCESSES:
+            record = service.gateways[name]._crash_record
+            await wait_until(lambda record=record: len(record))
+            status, _ = await caller.call(name, DEADLY)
+            assert status == 502
+        await self._remove_ended(service, wait_until)
+        await asyncio.sleep(1.6)
+        status, _ = await caller.call('gateway-2', DEADLY)
+        assert status == 200
+        # The answer clears it at all processes.
+        for name in PROCESSES:
+            record = service.gateways[name]._crash_record
+            await wait_until(lambda record=record: not len(record))
+            status, _ = await caller.call(name, DEADLY)
+            assert status == 200
+
+    async def test_trial_that_reaches_no_endpoint_is_not_spent(
+        self, service, caller, monkeypatch
+    ):
+        """An endpoint that ended is tried first here."""
+        monkeypatch.setattr(crashes, 'TRIAL_PAUSE_S', 0.3)
+        await caller.call('gateway-1', DEADLY)
+        for server in service.servers.values():
+            server.deadly_bodies.clear()
+        known = service.gateways['gateway-1']._directory
+        await asyncio.sleep(0.4)
+        later = asyncio.get_running_loop().time() + 60.0
+        ended = []
+        for state in known.list_usable('desk'):
+            state.backoff_until = later
+            if service.servers[state.id].ended:
+                ended.append(state)
+        ended[0].backoff_until = 0.0
+        ended[1].backoff_until = later + 60.0
+        ended[1].in_flight = 100
+        status, _ = await caller.call('gateway-1', DEADLY)
+        assert status == 200
+
+    async def test_trials_are_few_over_all_processes(
+        self, service, caller, monkeypatch
+    ):
+        """Each trial of a deadly request ends an endpoint."""
+        monkeypatch.setattr(crashes, 'TRIAL_PAUSE_S', 0.5)
+        loop = asyncio.get_running_loop()
+        await caller.call('gateway-1', DEADLY)
+        ended = count_ended(service)
+        ends_at = loop.time() + 1.6
+        while loop.time() < ends_at:
+            for name in PROCESSES:
+                await caller.call(name, DEADLY)
+            await asyncio.sleep(0.02)
+        records = [service.gateways[name]._crash_record for name in PROCESSES]
+        # The second trial would come after four times the first pause.
+        assert sum(record.trials for record in records) == 1
+        assert count_ended(service) == ended + 1
+
+
 class TestDeadlyStreams:
     async def test_few_endpoints_end(self, service, caller, wait_until):
         manifest = standin.build_manifest(2)
@@ -248,6 +372,46 @@
         record._learn({key: questions.CrashMarks(frozenset(['c@1']))})
         assert record.find_refusal(self.HEAD, b'', 'r1')
 
+    @pytest.mark.parametrize(
+        ('ages', 'barred'),
+        [
+            # The times since it was sent, and since the endpoint ended.
+            (((0.5, 0.2), (0.4, 0.1)), False),
+            (((0.5, 0.3), (0.3, 0.1)), True),
+            (((0.9, 0.1), (0.5, 0.4), (0.3, 0.2)), True),
+        ],
+    )
+    async def test_endpoints_that_held_it_together_count_once(
+        self, served, ages, barred
+    ):
+        record = served.gateways['gateway-1']._crash_record
+        key = crashes.identify_request(self.HEAD, b'')
+        for number, each in enumerate(ages):
+            instance = f'i{number}@1'
+            record._learn(
+                {
+                    key: questions.CrashMarks(
+                        frozenset([instance]), ages={instance: each}
+                    )
+                }
+            )
+        assert bool(record.find_refusal(self.HEAD, b'', 'r1')) is barred
+
+    async def test_old_marks_get_no_new_life(self, served, monkeypatch):
+        """A process that starts is told marks, and tells them on."""
+        monkeypatch.setattr(crashes, 'KEEP_S', 60.0)
+        record = served.gateways['gateway-1']._crash_record
+        key = crashes.identify_request(self.HEAD, b'')
+        ages = {'a@1': (59.9, 59.7), 'b@1': (59.6, 59.5)}
+        record._learn({key: questions.CrashMarks(frozenset(ages), ages=ages)})
+        assert record.find_refusal(self.HEAD, b'', 'r1') == ''
+        assert record.trials == 1
+        answer = await record.answer(questions.ReadCrashes())
+        assert answer.marks[key].ages['b@1'][1] >= 59.5
+        await asyncio.sleep(0.6)
+        answer = await record.answer(questions.ReadCrashes())
+        assert answer.marks == {}
+
     async def test_ended_endpoint_gets_requests_last(self, served):
         gateway = served.gateways['gateway-1']
         state = gateway._directory.endpoints['i-desk']
--- a/src/clementineline/state/questions.py
+++ b/src/clementineline/state/questions.py
@@ -272,13 +272,21 @@
 class CrashMarks(msgspec.Struct, frozen=True):
     """Instances of endpoints that ended while they held a request.
 
+    Times are stated as ages, since processes compare no clocks.
+
     :param ended: all of them
     :param cleared: those that do not count any more, because the request was
         answered after they had ended
+    :param ages: dict from an instance to the times since the request was sent
+        to it and since it ended, in seconds
+    :param trial_age_s: time since the last trial of the request, in seconds;
+        None if there was none
     """
 
     ended: frozenset[str] = frozenset()
     cleared: frozenset[str] = frozenset()
+    ages: dict[str, tuple[float, float]] = {}
+    trial_age_s: float | None = None
 
 
 class TellCrashes(msgspec.Struct, frozen=True, tag='tell_crashes'):
