Let only a statement about a request say that it did not run

Cause: calls and streams handed on any response without Not-Executed as the endpoint's answer, whatever its status. The same held for 408 and 429, and items took a 429 without a statement for a refusal.

coordination/responses.py now decides for calls, streams, reward calls and items what a response proves; the copies in the three modules are gone. Where a request may not be repeated, 408, 429 and 503 without the statement become 502 without the endpoint's signature. The log line of the attempt names the status in its reason.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -9,6 +9,7 @@
 from clementineline.coordination import draining
 from clementineline.coordination import endpointchoice
 from clementineline.coordination import ratelimits
+from clementineline.coordination import responses
 from clementineline.coordination import usage
 from clementineline import errors
 from clementineline.protocol import verdicts
@@ -24,8 +25,6 @@
 # response is hedged. Calls take a sixth of the target latency on average, so
 # few calls to healthy endpoints are hedged.
 HEDGE_DELAY_SHARE = 0.55
-# Delay after which callers may retry: about the duration of one call.
-RETRY_AFTER_S = 0.1
 # Longest wait for a permit, as a share of the route's target latency.
 PERMIT_WAIT_SHARE = 0.25
 # Refusals because of limits after which a call goes only to endpoints without
@@ -231,7 +230,7 @@
                     hedge_at = now + attempts.route.aim_s * HEDGE_DELAY_SHARE
             if not pending:
                 return last or verdicts.NotRun(
-                    'no endpoint is known', RETRY_AFTER_S
+                    'no endpoint is known', responses.RETRY_AFTER_S
                 )
             wake_at = attempts.deadline
             if hedge_at is not None:
@@ -374,7 +373,7 @@
                 fresh=fresh,
             )
         except errors.ConnectionLost as error:
-            return verdicts.NotRun(str(error), RETRY_AFTER_S)
+            return verdicts.NotRun(str(error), responses.RETRY_AFTER_S)
         complete = False
         try:
             remaining_s = attempts.deadline - loop.time()
@@ -419,24 +418,22 @@
         """
         headers = tuple(reply.headers.raw_items())
         facts = self._dialect.read_reply(headers)
-        if facts.request_id != attempts.request_id:
+        if facts.request_id == attempts.request_id:
+            state.update_load(facts, asyncio.get_running_loop().time())
+            self._pool.release(state, client)
+        else:
             client.close()
-            if facts.not_run and facts.is_about(attempts.request_id):
-                return verdicts.NotRun('refused without an id', RETRY_AFTER_S)
-            return verdicts.MayHaveRun(
-                f'response to another request {facts.request_id!r}'
-            )
-        state.update_load(facts, asyncio.get_running_loop().time())
-        self._pool.release(state, client)
-        if facts.not_run or reply.status_code == 421:
-            return verdicts.NotRun(
-                f'endpoint refused with {reply.status_code}',
-                RETRY_AFTER_S,
-                reply.status_code != 421 and not facts.leaving,
-            )
-        if not facts.signed and reply.status_code < 300:
-            return verdicts.MayHaveRun('response without a signature')
-        if self._learned is not None and reply.status_code < 300:
+        verdict = responses.judge_response(
+            reply.status_code,
+            headers,
+            body,
+            facts,
+            attempts.request_id,
+            attempts.route.idempotent,
+        )
+        if not isinstance(verdict, verdicts.Answered):
+            return verdict
+        if self._learned is not None and verdict.status < 300:
             if not completion.may_have_waited(facts, state.record.slots):
                 self._learned.observe_call(
                     state,
@@ -444,4 +441,4 @@
                     took_s,
                     asyncio.get_running_loop().time(),
                 )
-        return verdicts.Answered(reply.status_code, headers, body)
+        return verdict
--- a/src/clementineline/coordination/itemruns.py
+++ b/src/clementineline/coordination/itemruns.py
@@ -6,7 +6,9 @@
 
 from clementineline.coordination import completion
 from clementineline.coordination import ratelimits
+from clementineline.coordination import responses
 from clementineline import errors
+from clementineline.protocol import verdicts
 from clementineline.state import submissions
 from clementineline.transport import events
 from clementineline.transport import numbers
@@ -222,7 +224,9 @@
             async with asyncio.timeout(DATA_TIMEOUT_S):
                 await client.receive_body(1 << 20)
             reusable = True
-            return _classify_error_response(run, reply.status_code, facts)
+            return _classify_error_response(
+                run, reply.status_code, headers, facts
+            )
         if facts.request_id != run.item.id:
             return RunEnd.BROKEN, f'response to {facts.request_id!r}'
         pace = completion.PaceObserver(
@@ -253,11 +257,18 @@
             client.close()
 
 
-def _classify_error_response(run, status, facts):
-    if facts.not_run or status in (421, 429):
-        return RunEnd.NOT_RUN, f'status {status}'
-    if facts.request_id != run.item.id:
-        return RunEnd.BROKEN, f'status {status} to {facts.request_id!r}'
+def _classify_error_response(run, status, headers, facts):
+    """Return how a run ended whose response is no stream.
+
+    :returns: as :func:`run_item`
+    """
+    verdict = responses.judge_response(
+        status, headers, b'', facts, run.item.id, repeatable=True
+    )
+    if isinstance(verdict, verdicts.NotRun):
+        return RunEnd.NOT_RUN, verdict.reason
+    if isinstance(verdict, verdicts.MayHaveRun):
+        return RunEnd.BROKEN, verdict.reason
     if status == 422:
         return RunEnd.IMPOSSIBLE, 'status 422'
     if status == 500:
--- a/src/clementineline/coordination/preview.py
+++ b/src/clementineline/coordination/preview.py
@@ -6,9 +6,9 @@
 
 from clementineline.coordination import authorization
 from clementineline.coordination import endpointchoice
-from clementineline.coordination import forwarding
 from clementineline.coordination import itemplacement
 from clementineline.coordination import itemruns
+from clementineline.coordination import responses
 from clementineline.state import dialect
 from clementineline.state import questions
 from clementineline.state import submissions
@@ -102,7 +102,7 @@
             route.name,
             authorization.UNAVAILABLE,
             'no endpoint is known',
-            forwarding.RETRY_AFTER_S,
+            responses.RETRY_AFTER_S,
         )
     return questions.PreviewAnswer(
         route.name, '', choices, organisation=access.organisation
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -15,6 +15,7 @@
 from clementineline.coordination import endpointchoice
 from clementineline.coordination import forwarding
 from clementineline.coordination import ratelimits
+from clementineline.coordination import responses
 from clementineline.coordination import usage
 from clementineline import errors
 from clementineline.protocol import verdicts
@@ -203,7 +204,7 @@
         if stream.head_sent:
             incoming.abort()
         verdict = last or verdicts.NotRun(
-            'no endpoint is known', forwarding.RETRY_AFTER_S
+            'no endpoint is known', responses.RETRY_AFTER_S
         )
         if organisation is None:
             return verdict
@@ -285,7 +286,7 @@
                 repeatable=route.resumable,
             )
         except errors.ConnectionLost as error:
-            return verdicts.NotRun(str(error), forwarding.RETRY_AFTER_S)
+            return verdicts.NotRun(str(error), responses.RETRY_AFTER_S)
         complete = False
         try:
             head = self._dialect.build_call(
@@ -311,9 +312,21 @@
             if not is_stream or facts.request_id != incoming.request_id:
                 body = await client.receive_body(forwarding.RESPONSE_MAX_BYTES)
                 complete = True
-                return self._classify_response(
-                    stream, incoming, reply.status_code, headers, facts, body
+                verdict = responses.judge_response(
+                    reply.status_code,
+                    headers,
+                    body,
+                    facts,
+                    incoming.request_id,
+                    route.resumable,
                 )
+                if isinstance(verdict, verdicts.Answered) and (
+                    stream.head_sent or verdict.status < 300
+                ):
+                    return verdicts.MayHaveRun(
+                        f'no stream: status {verdict.status}'
+                    )
+                return verdict
             state.update_load(facts, loop.time())
             if not stream.head_sent:
                 stream.head_sent = True
@@ -359,21 +372,6 @@
             else:
                 client.close()
 
-    def _classify_response(
-        self, stream, incoming, status, headers, facts, body
-    ):
-        """Return the verdict of a response that is not a stream."""
-        if facts.not_run or status == 421:
-            return verdicts.NotRun(
-                f'endpoint refused with {status}',
-                forwarding.RETRY_AFTER_S,
-                status != 421 and not facts.leaving,
-            )
-        matches = facts.request_id == incoming.request_id
-        if stream.head_sent or not matches or status < 300:
-            return verdicts.MayHaveRun(f'no stream: status {status}')
-        return verdicts.Answered(status, headers, body)
-
     async def _relay(
         self, stream, incoming, client, gap_s, consecutive, notice, pace
     ):
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -290,6 +290,87 @@
         await wait_until(lambda: server.server.connections == 0)
 
 
+async def run_item(setup):
+    """Run an item at the endpoint ``a``.
+
+    :returns: as :func:`itemruns.run_item`
+    """
+    item = submissions.Item('i1', '/batch/1', (), b'', 1, 'g')
+    submission = submissions.Submission(
+        's1', 'r', 'lm', 'shop.example', '', 0, 1, 0, 0.0, (item,)
+    )
+    return await itemruns.run_item(
+        submission,
+        itemruns.ItemRun(item),
+        setup.endpoint_directory.endpoints['a'],
+        setup.pool,
+        dialect.WireDialect(),
+    )
+
+
+class TestFailuresThatLookLikeRefusals:
+    """An endpoint fails requests that it ran with a status of refusals.
+
+    Guards against a caller who sends an order again because the status
+    promised that it had not run (review/6).
+    """
+
+    async def start(self, setup, status):
+        for name in 'ab':
+            server = await setup.start(name)
+            server.fail_next = 9
+            server.fail_status = status
+
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    async def test_call_that_may_not_be_repeated(
+        self, forwarding_setup, status
+    ):
+        await self.start(forwarding_setup, status)
+        verdict = await forwarding_setup.forward(build_route(idempotent=False))
+        assert isinstance(verdict, verdicts.MayHaveRun)
+        assert str(status) in verdict.reason
+        assert sum(forwarding_setup.runs) == 1
+
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    async def test_call_that_may_be_repeated(self, forwarding_setup, status):
+        await self.start(forwarding_setup, status)
+        verdict = await forwarding_setup.forward(build_route())
+        assert verdict.status == status
+
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    async def test_item_is_no_refused_one(self, forwarding_setup, status):
+        """A refusal costs the endpoint nothing, a failure does."""
+        await self.start(forwarding_setup, status)
+        end, _ = await run_item(forwarding_setup)
+        assert end is itemruns.RunEnd.BROKEN
+
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    async def test_caller_gets_no_status_and_signature_of_the_endpoint(
+        self, served, wait_until, status
+    ):
+        manifest = standin.build_manifest(2)
+        manifest['routes'].append(
+            {
+                **manifest['routes'][0],
+                'name': 'r-order',
+                'pathPrefix': '/order/',
+                'kind': 'unsafe',
+            }
+        )
+        served.store.put('config', 'main', manifest)
+        gateway = served.gateways['gateway-1']
+        await wait_until(lambda: gateway._routes.table.version == 2)
+        server = served.servers['i-desk']
+        server.fail_next = 1
+        server.fail_status = status
+        found, headers, _ = await served.call(
+            gateway, 'POST', '/order/1', ((b'Request-Id', b'r1'),), b'q'
+        )
+        assert found == 502
+        assert b'server-stamp' not in {name.lower() for name, _ in headers}
+        assert [run[0] for run in server.runs] == ['r1']
+
+
 EXTRA_RESPONSES = {
     'refused': b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n',
     'another endpoint': b'HTTP/1.1 421 Misdirected\r\n',
@@ -339,18 +420,7 @@
         self, forwarding_setup, name
     ):
         await self.start(forwarding_setup, name)
-        state = forwarding_setup.endpoint_directory.endpoints['a']
-        item = submissions.Item('i1', '/batch/1', (), b'', 1, 'g')
-        submission = submissions.Submission(
-            's1', 'r', 'lm', 'shop.example', '', 0, 1, 0, 0.0, (item,)
-        )
-        end, reason = await itemruns.run_item(
-            submission,
-            itemruns.ItemRun(item),
-            state,
-            forwarding_setup.pool,
-            dialect.WireDialect(),
-        )
+        end, reason = await run_item(forwarding_setup)
         assert (end, reason) == (
             itemruns.RunEnd.BROKEN,
             "response to 'earlier'",
--- a/src/clementineline/platform/tests/test_streams.py
+++ b/src/clementineline/platform/tests/test_streams.py
@@ -133,6 +133,20 @@
         assert await client.receive_body(1000) == b'failed'
         assert len(streams.list_runs()) == 1
 
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    async def test_failure_that_looks_like_a_refusal_is_not_forwarded(
+        self, streams, status
+    ):
+        """The engine ran the stream; the status says the contrary."""
+        await streams.add_route()
+        for engine in streams.engines:
+            engine.fail_next = 1
+            engine.fail_status = status
+        client = await streams.open()
+        reply = await client.receive_head()
+        assert reply.status_code == 502
+        assert len(streams.list_runs()) == 1
+
     async def test_refused_stream_runs_at_another_engine(self, streams):
         await streams.add_route()
         streams.engines[0].shed = True
