Take only a refusal for one, at the store and at engines

Trainers could get 503, which promises that nothing of a submission runs, for one that the store had recorded: a write that was answered with 500, 502, 504 or 302 counted as refused. The product's callers could get "not run" for a generation whose engine answered 500 after it had begun.

The store says that of 503 only; 4xx are refusals as well.

transport/statuses.py says which statuses refuse. Any other status of a write leaves its outcome open, so a read finds it out, as after no answer; the log line is `write without a known outcome`. Other statuses of an engine become "may have run".

Measured: five tests of test_objects.py failed before with PlatformError and hold now.

--- a/src/clementineline/platform/objects.py
+++ b/src/clementineline/platform/objects.py
@@ -16,6 +16,7 @@
 from clementineline.state import objects
 from clementineline.transport import http
 from clementineline.transport import outgoing
+from clementineline.transport import statuses
 
 __all__ = ['ObjectStore']
 
@@ -232,15 +233,22 @@
         body = msgspec.json.encode({'metadata': metadata, 'spec': value})
         try:
             status, answer = await self._call(method, path, body)
-        except errors.AmbiguousWrite:
+            if status in (404, 409):
+                raise errors.WriteConflict(
+                    f'{kind}/{name}: expected version {expected}, status '
+                    f'{status}'
+                )
+            self._check_write_status(status, answer, f'{method} {kind}/{name}')
+        except errors.AmbiguousWrite as error:
+            self._log.info(
+                'write without a known outcome',
+                kind=kind,
+                name=name,
+                reason=str(error),
+            )
             return await self._resolve_ambiguous_write(
                 kind, name, value, expected
             )
-        if status in (404, 409):
-            raise errors.WriteConflict(
-                f'{kind}/{name}: expected version {expected}, status {status}'
-            )
-        self._check_status(status, answer, f'{method} {kind}/{name}')
         written = _decode_object(kind, answer)
         if written is None:
             raise errors.AmbiguousWrite(
@@ -282,14 +290,14 @@
         status, answer = await self._call('PUT', path, body)
         if status == 404:
             return False
-        self._check_status(status, answer, f'PUT {kind}/{name}/status')
+        self._check_write_status(status, answer, f'PUT {kind}/{name}/status')
         return True
 
     async def delete(self, kind, name):
         """Delete an object; no error if it does not exist."""
         status, body = await self._call('DELETE', f'/{kind}/{name}')
         if status != 404:
-            self._check_status(status, body, f'DELETE {kind}/{name}')
+            self._check_write_status(status, body, f'DELETE {kind}/{name}')
 
     async def list_objects(self, kind, stale=False):
         """Return all objects of a kind.
@@ -369,6 +377,15 @@
             raise errors.PlatformUnavailable(f'{call}: status {status} {text}')
         raise errors.PlatformError(f'{call}: status {status} {text}')
 
+    def _check_write_status(self, status, body, call):
+        """Raise an error if the status of a write is not a success.
+
+        :raises errors.AmbiguousWrite: if it leaves open what the store did
+        """
+        if not statuses.is_refusal(status) and status not in (200, 201):
+            raise errors.AmbiguousWrite(f'{call}: status {status}')
+        self._check_status(status, body, call)
+
     async def _call(
         self, method, path, body=b'', timeout_s=RESPONSE_TIMEOUT_S
     ):
--- a/src/clementineline/platform/tests/standin.py
+++ b/src/clementineline/platform/tests/standin.py
@@ -69,6 +69,13 @@
     incoming.respond(status, headers, _encode_json(value))
 
 
+def send_raw(incoming, data):
+    """Send bytes instead of a response and close the connection."""
+    incoming.response_started = True
+    incoming._channel.send(data)
+    incoming._channel.close()
+
+
 class StoreStandIn(_HttpStandIn):
     """The platform's store.
 
@@ -77,6 +84,8 @@
     - ``down``: whether all requests are refused with status 503
     - ``lose_writes``: number of next writes that take effect but get no
       response
+    - ``raw_write_answers``: bytes sent instead of the responses to the next
+      writes, which take effect
     - ``hold_writes``: number of next writes that get no response and take
       effect only in :meth:`apply_held_writes`
     - ``hold_kind``: start of the kinds whose writes are held
@@ -93,6 +102,7 @@
         self.oldest_watchable = 0
         self.down = False
         self.lose_writes = 0
+        self.raw_write_answers = []
         self.hold_writes = 0
         self.hold_kind = ''
         self.lose_watches = 0
@@ -171,6 +181,9 @@
             await asyncio.sleep(60)
             return
         status, answer = self._write(method, kind, parts[1:], incoming.body)
+        if self.raw_write_answers:
+            send_raw(incoming, self.raw_write_answers.pop(0))
+            return
         if self.lose_writes:
             self.lose_writes -= 1
             await asyncio.sleep(60)
@@ -413,9 +426,7 @@
         if 'last-event-id' in headers:
             raw = raw or self.raw_resumption
         if raw:
-            incoming.response_started = True
-            incoming._channel.send(raw.replace(b'%s', request_id.encode()))
-            incoming._channel.close()
+            send_raw(incoming, raw.replace(b'%s', request_id.encode()))
             return
         if self.lose_answers:
             self.lose_answers -= 1
--- a/src/clementineline/platform/tests/test_objects.py
+++ b/src/clementineline/platform/tests/test_objects.py
@@ -40,6 +40,22 @@
         with pytest.raises(errors.WriteConflict):
             await client.write('lease', 'a', {'x': 1}, 0)
 
+    @pytest.mark.parametrize('status', [500, 502, 504, 302, 204])
+    async def test_status_that_refuses_nothing_leaves_the_outcome_open(
+        self, store, client, status
+    ):
+        """The write took effect, and callers were told that it had not."""
+        raw = b'HTTP/1.1 %d X\r\nConnection: close\r\n\r\n' % status
+        store.raw_write_answers = [raw, raw, raw]
+        version = await client.write('lease', 'a', {'x': 1}, 0)
+        assert version == store.objects[('lease', 'a')]['metadata']['revision']
+        for change in (
+            client.write_status('lease', 'a', {}),
+            client.delete('lease', 'a'),
+        ):
+            with pytest.raises(errors.AmbiguousWrite):
+                await change
+
     async def test_status_is_replaced_without_the_spec(self, store, client):
         store.put('retirements', 'n', {'durationS': 1})
         assert await client.write_status('retirements', 'n', {'state': 'x'})
--- a/src/clementineline/transport/engine.py
+++ b/src/clementineline/transport/engine.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from clementineline import errors
+from clementineline.transport import statuses
 
 __all__ = ['EngineChunk', 'EngineClient', 'EngineError', 'EngineWeights']
 
@@ -118,7 +119,8 @@
                 if response.status != 200:
                     text = await response.text()
                     raise EngineError(
-                        f'status {response.status}: {text[:200]}', False
+                        f'status {response.status}: {text[:200]}',
+                        not statuses.is_refusal(response.status),
                     )
                 async for chunk in self._read_stream(response):
                     yield chunk
