Take only statuses that HTTP defines for responses

A server in trouble that answers with a status from 600 to 999 had its bytes handed to callers as its signed answer, on safe and unsafe routes and streams alike, and its load and limit were believed. 000 did not pass there, as the parser refuses it, but it did at the product's other clients: sidecars handed any status of a service to the caller, and the clients of the platform's API and of trainers took 000 to 199 for a success. An engine's undefined status was reported as "not run" (MIXED).

Cause: parsers take any three digits, and every reader compared the status with limits of its own, open to one side.

transport/statuses.py says which statuses a response may have, 200 to 599, and all five clients keep to it. The connection is closed, nothing in the headers counts, and the logged reason gives the status and 200 characters of what follows. More than 16 interim responses are no response either.

--- a/src/clementineline/client/trainer.py
+++ b/src/clementineline/client/trainer.py
@@ -207,9 +207,9 @@
                     status = response.status
             except (aiohttp.ClientError, OSError, TimeoutError):
                 status, body = 503, b''
-            if status < 300:
+            if 200 <= status < 300:
                 return body
-            if status < 500:
+            if 300 <= status < 500:
                 _raise_refusal(status, body)
             self.failures += 1
             self._entry_index += 1
--- a/src/clementineline/coordination/work.py
+++ b/src/clementineline/coordination/work.py
@@ -10,6 +10,7 @@
 from clementineline.coordination import waiting
 from clementineline.protocol import messages
 from clementineline.transport import engine as engines
+from clementineline.transport import statuses
 
 __all__ = ['AttemptRunner']
 
@@ -340,6 +341,12 @@
             return messages.Done(attempt_id, 'not-run', repr(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return messages.Done(attempt_id, 'may-have-run', repr(error))
+        if not statuses.is_defined(status):
+            return messages.Done(
+                attempt_id,
+                'may-have-run',
+                f'no HTTP response: status {status}',
+            )
         if len(body) > ANSWER_MAX_BYTES:
             return messages.Done(
                 attempt_id,
--- a/src/clementineline/state/platform.py
+++ b/src/clementineline/state/platform.py
@@ -183,11 +183,12 @@
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
             self.available = False
             self._raise_unanswered(method, path, repr(error))
-        if status >= 500:
+        succeeded = 200 <= status < 300
+        if not succeeded and not 400 <= status < 500:
             self.available = False
             self._raise_unanswered(method, path, f'status {status}')
         self.available = True
-        if status >= 400 and status not in (404, 409):
+        if not succeeded and status not in (404, 409):
             raise errors.PlatformError(
                 f'{method} {path}: status {status}: '
                 f'{body.decode(errors="replace")}'
--- a/src/clementineline/transport/outgoing.py
+++ b/src/clementineline/transport/outgoing.py
@@ -7,10 +7,15 @@
 
 from clementineline import errors
 from clementineline.transport import channels
+from clementineline.transport import statuses
 
 __all__ = ['Client', 'connect']
 
 RESPONSE_HEAD_MAX_BYTES = 64 * 1024
+# Interim responses before a response; an orderly server sends one or two.
+INTERIM_RESPONSES_MAX = 16
+# Most characters of what is wrong with a response, for logs.
+FAULT_MAX_LENGTH = 200
 # An unfinished request has run nowhere, so it is ended before a response that
 # holds up to four times as much.
 RESPONSE_WEIGHT = 0.25
@@ -122,15 +127,25 @@
         :raises errors.ConnectionLost: if the connection ended too early
         :raises errors.ProtocolError: if the bytes are not a valid response
         """
-        while True:
+        for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = await self._next_event()
-            if isinstance(event, h11.Response):
-                self.response = event
-                self.on_response(event)
-                return event
             if isinstance(event, h11.InformationalResponse):
                 continue
-            raise errors.ConnectionLost('connection ended before a response')
+            if not isinstance(event, h11.Response):
+                raise errors.ConnectionLost(
+                    'connection ended before a response'
+                )
+            self.response = event
+            if not statuses.is_defined(event.status_code):
+                reason = bytes(event.reason)[:FAULT_MAX_LENGTH]
+                raise errors.ProtocolError(
+                    f'no HTTP response: status {event.status_code} {reason!r}'
+                )
+            self.on_response(event)
+            return event
+        raise errors.ProtocolError(
+            f'no HTTP response: over {INTERIM_RESPONSES_MAX} interim ones'
+        )
 
     async def receive_data(self):
         """Return the next bytes of the body; None after its end.
@@ -184,7 +199,8 @@
                     continue
                 return event
         except h11.RemoteProtocolError as error:
-            raise errors.ProtocolError(f'no HTTP response: {error}') from error
+            fault = str(error)[:FAULT_MAX_LENGTH]
+            raise errors.ProtocolError(f'no HTTP response: {fault}') from error
 
     def _finish_cycle(self):
         self.used_at = asyncio.get_running_loop().time()
--- a/src/clementineline/transport/statuses.py
+++ b/src/clementineline/transport/statuses.py
@@ -1,6 +1,19 @@
-"""What the HTTP status of a response states."""
+"""HTTP statuses that a response may have.
 
-__all__ = ['is_refusal']
+Parsers accept any three digits in a status line. What HTTP does not define is
+no answer, whatever follows it: the bytes may belong to anything.
+"""
+
+__all__ = ['is_defined', 'is_refusal']
+
+# Below are interim responses, which are followed by the response itself.
+FINAL_MIN = 200
+FINAL_MAX = 599
+
+
+def is_defined(status):
+    """Return whether a status is one of a response to a request."""
+    return FINAL_MIN <= status <= FINAL_MAX
 
 
 def is_refusal(status):
