Clear the marks of a request that its endpoint answered with a failure

A request that may not be repeated and that an endpoint ran and answered with 503 kept the marks of endpoints that had ended under it, since the change of its verdict to "may have run": only an answered verdict cleared them.

A complete response to the request clears them now, unless it states that the request did not run, whatever the caller is told.

Measured: test_endpoint_that_answers_has_outlived_the_request failed before this commit and passes.

--- a/src/clementineline/coordination/forwarding.py
+++ b/src/clementineline/coordination/forwarding.py
@@ -335,9 +335,6 @@
         if isinstance(verdict, verdicts.Answered):
             state.record_success()
             self.drains.note_answer(attempts.service, loop.time() - started)
-            self._crash_record.clear(
-                attempts.head, attempts.body, attempts.request_id
-            )
         elif sent:
             state.record_failure(loop.time())
         return verdict
@@ -431,6 +428,10 @@
             attempts.request_id,
             attempts.route.idempotent,
         )
+        if responses.shows_survival(verdict, facts, attempts.request_id):
+            self._crash_record.clear(
+                attempts.head, attempts.body, attempts.request_id
+            )
         if not isinstance(verdict, verdicts.Answered):
             return verdict
         if self._learned is not None and verdict.status < 300:
--- a/src/clementineline/coordination/responses.py
+++ b/src/clementineline/coordination/responses.py
@@ -6,7 +6,7 @@
 
 from clementineline.protocol import verdicts
 
-__all__ = ['RETRY_AFTER_S', 'judge_response']
+__all__ = ['RETRY_AFTER_S', 'judge_response', 'shows_survival']
 
 # Delay after which callers may retry: about the duration of one call.
 RETRY_AFTER_S = 0.1
@@ -51,3 +51,18 @@
     if status < 300 and not facts.signed:
         return verdicts.MayHaveRun('response without a signature')
     return verdicts.Answered(status, headers, body)
+
+
+def shows_survival(verdict, facts, request_id):
+    """Return whether the endpoint outlived the request.
+
+    It has if the complete response is to this request and does not state that
+    the request did not run, whatever the caller is told.
+
+    :param verdict: what :func:`judge_response` returned
+    :param facts: the :class:`~dialect.ReplyFacts` of the headers
+    :param request_id: id of the request
+    """
+    if facts.request_id != request_id:
+        return False
+    return not isinstance(verdict, verdicts.NotRun)
--- a/src/clementineline/coordination/streaming.py
+++ b/src/clementineline/coordination/streaming.py
@@ -320,6 +320,12 @@
                     incoming.request_id,
                     route.resumable,
                 )
+                if responses.shows_survival(
+                    verdict, facts, incoming.request_id
+                ):
+                    self._crash_record.clear(
+                        incoming.head, incoming.body, incoming.request_id
+                    )
                 if isinstance(verdict, verdicts.Answered) and (
                     stream.head_sent or verdict.status < 300
                 ):
--- a/src/clementineline/coordination/tests/test_responses.py
+++ b/src/clementineline/coordination/tests/test_responses.py
@@ -84,3 +84,26 @@
         assert judge(503, not_run=True).no_room
         assert not judge(503, not_run=True, leaving=True).no_room
         assert not judge(421, not_run=True).no_room
+
+
+class TestSurvival:
+    @pytest.mark.parametrize(
+        ('status', 'given', 'survived'),
+        [
+            (200, {}, True),
+            (500, {}, True),
+            (503, {}, True),
+            (503, {'not_run': True}, False),
+            (421, {}, False),
+            (503, {'request_id': ''}, False),
+            (200, {'request_id': 'r2'}, False),
+        ],
+    )
+    def test_endpoint_outlives_what_it_answers(self, status, given, survived):
+        """A 503 for a request that ran left it barred (review/6 and 9)."""
+        request_id = given.get('request_id', 'r1')
+        facts = dialect.ReplyFacts(
+            request_id, False, 'stamp', None, None, 1.0, None
+        )
+        found = responses.shows_survival(judge(status, **given), facts, 'r1')
+        assert found is survived
--- a/src/clementineline/platform/tests/test_forwarding.py
+++ b/src/clementineline/platform/tests/test_forwarding.py
@@ -331,6 +331,23 @@
         assert str(status) in verdict.reason
         assert sum(forwarding_setup.runs) == 1
 
+    async def test_endpoint_that_answers_has_outlived_the_request(
+        self, forwarding_setup
+    ):
+        """The verdict is not that of an answer, and the mark stayed."""
+        await self.start(forwarding_setup, 503)
+        record = forwarding_setup.forwarder._crash_record
+        record.note(
+            http.Head(b'POST', b'/live/x', ((b'Host', b'shop.example'),)),
+            b'q',
+            'r0',
+            build_state('c'),
+            0.0,
+        )
+        assert len(record) == 1
+        await forwarding_setup.forward(build_route(idempotent=False))
+        assert not len(record)
+
     @pytest.mark.parametrize('status', [408, 429, 503])
     async def test_call_that_may_be_repeated(self, forwarding_setup, status):
         await self.start(forwarding_setup, status)
