--- a/src/clementineline/coordination/tests/test_responses.py
+++ b/src/clementineline/coordination/tests/test_responses.py
@@ -63,7 +63,7 @@
 
     @pytest.mark.parametrize(
         ('not_run', 'status', 'signature'),
-        itertools.product((False, True), STATUSES[::50], SIGNATURES),
+        list(itertools.product((False, True), STATUSES[::50], SIGNATURES)),
     )
     def test_response_to_another_request_proves_nothing(
         self, not_run, status, signature
