--- a/src/clementineline/coordination/crashes.py
+++ b/src/clementineline/coordination/crashes.py
@@ -10,10 +10,9 @@
 """
 
 import asyncio
-import dataclasses
 import hashlib
-import math
 
+from clementineline.coordination import crashmarks
 from clementineline.coordination import peers
 from clementineline.coordination import rendezvous
 from clementineline.coordination import telling
@@ -72,68 +71,6 @@
     return f'{endpoint_id}@{born_ms}'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _End:
-    """The end of an endpoint that held a request.
-
-    :param sent_at: loop time at which the request was sent to it, in seconds
-    :param ended_at: loop time at which its end was found, in seconds
-    """
-
-    sent_at: float
-    ended_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Marks:
-    """What is known of a request.
-
-    :param ends: dict from the instance of an endpoint to its :class:`_End`
-    :param cleared: instances that do not count any more
-    :param tried_at: loop time of the last trial, in seconds; ``-inf`` if there
-        was none
-    """
-
-    ends: dict = dataclasses.field(default_factory=dict)
-    cleared: frozenset = frozenset()
-    tried_at: float = -math.inf
-
-    def merge(self, other):
-        """Return these marks and others; ends known already stay as known."""
-        return _Marks(
-            {**other.ends, **self.ends},
-            self.cleared | other.cleared,
-            max(self.tried_at, other.tried_at),
-        )
-
-    @property
-    def ended_at(self):
-        """Loop time of the last end, in seconds; ``-inf`` if there is none."""
-        return max(
-            (end.ended_at for end in self.ends.values()), default=-math.inf
-        )
-
-    def list_counted(self):
-        """Return the instances that count against the request, sorted."""
-        return sorted(self.ends.keys() - self.cleared)
-
-    def count_rounds(self):
-        """Return how often the request was sent and an endpoint ended.
-
-        Endpoints that held the request at the same time are one round, as they
-        may have ended for one other reason.
-        """
-        ends = [self.ends[instance] for instance in self.list_counted()]
-        rounds = 0
-        last_ended_at = -math.inf
-        for end in sorted(ends, key=lambda end: end.ended_at):
-            if end.sent_at < last_ended_at:
-                continue
-            rounds += 1
-            last_ended_at = end.ended_at
-        return rounds
-
-
 def _is_old(marks):
     """Return whether no endpoint has ended under a request for long.
 
@@ -142,36 +79,15 @@
     return asyncio.get_running_loop().time() - marks.ended_at >= KEEP_S
 
 
-def _encode_marks(marks, now):
-    ages = {}
-    for instance, end in marks.ends.items():
-        ages[instance] = (now - end.sent_at, now - end.ended_at)
-    trial_age_s = now - marks.tried_at if marks.tried_at > -math.inf else None
-    return questions.CrashMarks(
-        frozenset(marks.ends), marks.cleared, ages, trial_age_s
-    )
-
-
-def _decode_marks(stated, now):
-    ends = {}
-    for instance in stated.ended:
-        sent_age_s, ended_age_s = stated.ages.get(instance, (0.0, 0.0))
-        ends[instance] = _End(now - sent_age_s, now - ended_age_s)
-    tried_at = -math.inf
-    if stated.trial_age_s is not None:
-        tried_at = now - stated.trial_age_s
-    return _Marks(ends, stated.cleared, tried_at)
-
-
 def _build_question(marks):
     """Build the question that tells marks.
 
-    :param marks: dict from a request to its :class:`_Marks`
+    :param marks: dict from a request to its :class:`~crashmarks.Marks`
     """
     now = asyncio.get_running_loop().time()
     stated = {}
     for key, known in marks.items():
-        stated[key] = _encode_marks(known, now)
+        stated[key] = crashmarks.encode_marks(known, now)
     return questions.TellCrashes(stated)
 
 
@@ -232,8 +148,7 @@
     )
 
     def __init__(self, name, members, start, log):
-        # Marks by request; the oldest change comes first. Marks only grow, so
-        # the processes agree in whatever order they are told.
+        # Marks by request; the oldest change comes first.
         self._marks = {}
         self._log = log
         self._members = members
@@ -264,7 +179,10 @@
         key = identify_request(head, body)
         now = asyncio.get_running_loop().time()
         marks = self._merge(
-            key, _Marks({name_instance(state): _End(sent_at, now)})
+            key,
+            crashmarks.Marks(
+                {name_instance(state): crashmarks.End(sent_at, now)}
+            ),
         )
         rounds = marks.count_rounds()
         self._log.warning(
@@ -293,7 +211,7 @@
             request=request_id,
             ended=marks.list_counted(),
         )
-        self._merge(key, _Marks(cleared=frozenset(marks.ends)))
+        self._merge(key, crashmarks.Marks(cleared=frozenset(marks.ends)))
         self._teller.tell_all(key, self._marks[key])
 
     def find_refusal(self, head, body, request_id, trial=None):
@@ -329,7 +247,9 @@
                 ended=marks.list_counted(),
                 rounds=rounds,
             )
-            self._teller.tell_all(key, self._merge(key, _Marks(tried_at=now)))
+            self._teller.tell_all(
+                key, self._merge(key, crashmarks.Marks(tried_at=now))
+            )
             return ''
         self.refused += 1
         self._log.warning(
@@ -354,7 +274,7 @@
         """Return the marks of a request, without those that are too old."""
         marks = self._marks.get(key)
         if marks is None or _is_old(marks):
-            return _Marks()
+            return crashmarks.Marks()
         return marks
 
     def _forget_old(self):
@@ -394,7 +314,7 @@
         """
         now = asyncio.get_running_loop().time()
         for key, stated in told.items():
-            marks = _decode_marks(stated, now)
+            marks = crashmarks.decode_marks(stated, now)
             if _is_old(marks):
                 continue
             self._merge(key, marks)
