--- a/src/clementineline/coordination/crashmarks.py
+++ b/src/clementineline/coordination/crashmarks.py
@@ -57,10 +57,10 @@
         return sorted(self.ends.keys() - self.cleared)
 
     def count_rounds(self):
-        """Return how often the request was sent and an endpoint ended.
+        """Count the rounds: the ends that no common cause explains.
 
         Endpoints that held the request at the same time are one round, as they
-        may have ended for one other reason.
+        may have ended for one reason that is not the request.
         """
         ends = [self.ends[instance] for instance in self.list_counted()]
         rounds = 0
