Let the soak's endpoints and store answer with statuses that state nothing

Endpoints fail requests that they ran with 408, 429, 500 or 503, or answer with a status that HTTP does not define, and the store answers writes that took effect with 302, 500 or 502. The draws are independent of those of the other faults. All four statuses of refusals count as promises to a request that may run once; an endpoint's own status does not where a repetition is harmless.

--- a/src/clementineline/platform/tests/soak/__main__.py
+++ b/src/clementineline/platform/tests/soak/__main__.py
@@ -56,6 +56,9 @@
             group.create_task(
                 injector.let_servers_leave(stopping, random.Random(seed + 3))
             )
+            group.create_task(
+                injector.answer_wrongly(stopping, random.Random(seed + 5))
+            )
             if seed % UNTRUSTED_EACH == 0:
                 group.create_task(
                     injector.crowd_gateways(stopping, random.Random(seed + 4))
--- a/src/clementineline/platform/tests/soak/faults.py
+++ b/src/clementineline/platform/tests/soak/faults.py
@@ -28,11 +28,27 @@
 # effect. A write is also tried through other processes meanwhile.
 UNANSWERED_WRITES = 40
 UNANSWERED_S = (1.5, 4.0)
+# Statuses with which a server fails requests that it ran, statuses of refusals
+# among them, and statuses that HTTP does not define.
+FAILURES = (408, 429, 500, 503)
+UNDEFINED = (0, 99, 101, 199, 600, 999)
+# Share of the wrong answers that are such failures.
+FAILED_SHARE = 0.5
+# Statuses of a write that leave open what the store has done.
+UNCERTAIN = (302, 500, 502)
 STOP_TIMEOUT_S = 20.0
 # The exit code after a stop signal.
 CODE_STOPPED = 0
 
 
+def _build_answer(status):
+    """Return a signed response; ``%s`` stands for the request's id."""
+    return (
+        b'HTTP/1.1 %03d X\r\nRequest-Id: %%s\r\nServer-Stamp: s\r\n'
+        b'Connection: close\r\nContent-Length: 4\r\n\r\nevil'
+    ) % status
+
+
 def _replace_by_folder(path):
     """Put a folder where a file is, however often a keeper writes it again."""
     while not path.is_dir():
@@ -119,6 +135,28 @@
             for _, writer in opened:
                 writer.transport.abort()
 
+    async def answer_wrongly(self, stopping, rng):
+        """Let endpoints and the store answer with statuses that state nothing.
+
+        The draws are independent of those of the other faults.
+
+        :param stopping: event that ends it
+        :param rng: random number generator
+        """
+        names = sorted(self._fleet.servers)
+        store = self._fleet.store
+        while not await load.is_set_within(stopping, rng.uniform(*GAP_S)):
+            server = self._fleet.servers[rng.choice(names)]
+            if rng.random() < FAILED_SHARE:
+                server.fail_status = rng.choice(FAILURES)
+                server.fail_next += 3
+            else:
+                server.raw_answer = _build_answer(rng.choice(UNDEFINED))
+            store.raw_write_answers = [_build_answer(rng.choice(UNCERTAIN))]
+            await load.is_set_within(stopping, rng.uniform(*DURATION_S) / 2)
+            server.raw_answer = b''
+        store.raw_write_answers = []
+
     def _list_kinds(self):
         """Return pairs of a fault and the names that it may be for."""
         processes, keepers = self._fleet.names, self._fleet.keepers
@@ -315,7 +353,9 @@
     # Endpoints.
 
     async def fail_server(self, name, left_s, rng):
-        self._fleet.servers[name].fail_next += 5
+        server = self._fleet.servers[name]
+        server.fail_status = rng.choice(FAILURES)
+        server.fail_next += 5
 
     async def shed_server(self, name, left_s, rng):
         self._fleet.servers[name].shed = True
--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -20,6 +20,8 @@
 
 HOST = b'shop.example'
 CALL_TIMEOUT_S = 4.0
+# Statuses that promise that a request has not run and never will.
+REFUSALS = (408, 421, 429, 503)
 CALL_INTERVAL_S = 0.04
 KEPT_CALL_INTERVAL_S = 0.05
 # Limit on the gateways that get calls on kept connections.
@@ -127,9 +129,15 @@
             )
         except (errors.ProtocolError, TimeoutError) as error:
             recorder.statuses[path, type(error).__name__] += 1
+            if 'no HTTP response: status' in str(error):
+                recorder.report('defined statuses', f'{request_id}: {error}')
             return
         recorder.statuses[path, status] += 1
-        if status == 503:
+        if not 200 <= status <= 599:
+            recorder.report('defined statuses', f'{request_id} got {status}')
+        # An endpoint's own status binds nobody where a repetition is harmless.
+        unsafe = request_id in recorder.unsafe_ids
+        if status in REFUSALS and (unsafe or b'server-stamp' not in headers):
             recorder.refused.add(request_id)
         if status == 404:
             recorder.report('routes', f'{request_id} got 404 on {path}')
