--- a/src/clementineline/platform/tests/test_crashes.py
+++ b/src/clementineline/platform/tests/test_crashes.py
@@ -286,6 +286,8 @@
         monkeypatch.setattr(crashes, 'TRIAL_PAUSE_S', 2.0)
         await caller.call('gateway-1', DEADLY)
         ended = count_ended(service)
+        # Otherwise the trial may find only endpoints that have ended.
+        await self._remove_ended(service, wait_until)
         await asyncio.sleep(2.1)
         await caller.call('gateway-1', DEADLY)
         records = [service.gateways[name]._crash_record for name in PROCESSES]
