--- a/src/clementineline/platform/tests/soak/load.py
+++ b/src/clementineline/platform/tests/soak/load.py
@@ -135,7 +135,8 @@
         recorder.statuses[path, status] += 1
         if not 200 <= status <= 599:
             recorder.report('defined statuses', f'{request_id} got {status}')
-        # An endpoint's own status binds nobody where a repetition is harmless.
+        # What an endpoint has signed is no promise of the gateway, unless the
+        # request must not be repeated.
         unsafe = request_id in recorder.unsafe_ids
         if status in REFUSALS and (unsafe or b'server-stamp' not in headers):
             recorder.refused.add(request_id)
